--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Port range of the demo; set another one when it is taken.
+DEMO_BASE_PORT ?= 21000
+
+.PHONY: build demo test measure fmt lint generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	go run ./test/demo -bin bin -base-port $(DEMO_BASE_PORT)
+
+# Tests named in KNOWN-RED.txt are run and printed; any other failure fails.
+test: lint
+	go run ./test/runtests
+
+lint:
+	@files="$$(go tool gofumpt -l cmd pkg test)"; if [ -n "$$files" ]; then echo "not formatted:"; echo "$$files"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+fmt:
+	go tool gofumpt -w cmd pkg test
+
+measure:
+	@go run ./test/measure
+
+generate:
+	GOBIN=$(CURDIR)/bin go install google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	go generate ./pkg/pb
--- /dev/null
+++ b/pkg/config/bundle.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// Bundle is one service as it is stored and distributed.
+type Bundle struct {
+	Service Service `json:"service"`
+	// Generations gives, for each move, the configuration version in which its
+	// definition last changed.
+	Generations map[string]uint64 `json:"generations,omitempty"`
+}
+
+// Encode returns the bundle's canonical form, which its digest is taken of.
+func (b *Bundle) Encode() []byte {
+	data, err := json.Marshal(b)
+	if err != nil {
+		panic("config: bundle cannot be encoded: " + err.Error()) // checked configuration holds no such value
+	}
+	return data
+}
+
+// DecodeBundle decodes a bundle and verifies it against its digest.
+func DecodeBundle(data []byte, digest string) (*Bundle, error) {
+	if got := Digest(data); got != digest {
+		return nil, &DigestError{What: "bundle", Want: digest, Got: got}
+	}
+	var b Bundle
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, &BundleError{Digest: digest, Cause: err}
+	}
+	return &b, nil
+}
+
+// Hosts returns the sorted host names of the bundle's routes.
+func (b *Bundle) Hosts() []string {
+	var hosts []string
+	for i := range b.Service.Routes {
+		hosts = append(hosts, b.Service.Routes[i].Host)
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
--- /dev/null
+++ b/pkg/config/move.go
@@ -0,0 +1,23 @@
+package config
+
+import "time"
+
+// Move shifts the traffic of its service from one target version to another.
+type Move struct {
+	Name string `json:"name"`
+	From string `json:"from"`
+	To   string `json:"to"`
+	// By is the time at which all traffic is to be on the new version.
+	By      time.Time `json:"by"`
+	Caution Caution   `json:"caution,omitempty"`
+}
+
+// Caution trades the speed of a move against the certainty of its verdict.
+type Caution string
+
+// Cautions. The empty value means CautionNormal.
+const (
+	CautionLow    Caution = "low"
+	CautionNormal Caution = "normal"
+	CautionHigh   Caution = "high"
+)
--- /dev/null
+++ b/pkg/config/types.go
@@ -0,0 +1,38 @@
+// Package config holds the contract with operators: the declarative files,
+// their checks, and the immutable snapshots that daemons route by.
+package config
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// File is the content of one or several operator files, merged.
+type File struct {
+	Teams           []Team    `json:"teams,omitempty"`
+	Services        []Service `json:"services,omitempty"`
+	RemovedServices []string  `json:"removedServices,omitempty"`
+}
+
+// Team owns services.
+type Team struct {
+	Name    string `json:"name"`
+	Contact string `json:"contact,omitempty"`
+}
+
+// Duration is a time.Duration written as a string such as "1.5s".
+type Duration time.Duration
+
+// MarshalJSON writes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// UnmarshalJSON reads a duration string.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return err
+	}
+	parsed, err := time.ParseDuration(text)
+	*d = Duration(parsed)
+	return err
+}
--- /dev/null
+++ b/pkg/link/link.go
@@ -0,0 +1,156 @@
+// Package link carries the drpc streams between daemons: it accepts
+// connections on a task pool and keeps pools of connections to the peers in use.
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/telemetry"
+)
+
+const (
+	// dialTimeout bounds a connection attempt. Regions lose each other without
+	// a reset, so a dial must not hang.
+	dialTimeout = time.Second
+	// idleTimeout closes pooled connections that are not in use.
+	idleTimeout = 60 * time.Second
+	// maxIdlePerPeer and maxIdle bound the memory of idle connections.
+	maxIdlePerPeer = 4
+	maxIdle        = 256
+	// softCancelGrace lets a concurrent send finish before a cancelled stream
+	// closes its connection.
+	softCancelGrace = 5 * time.Millisecond
+	// maxMessageBytes bounds one drpc message; bodies are sent in smaller frames.
+	maxMessageBytes = 4 << 20
+)
+
+var eventConnectionFailed = telemetry.NewEvent(1701, "connection_failed", zapcore.DebugLevel,
+	"A connection from another daemon ended with an error.")
+
+// DialError reports that a peer could not be reached. Nothing was sent to it.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+func (e *DialError) Error() string { return fmt.Sprintf("link: dial %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// DialFunc opens a transport connection to a daemon's address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the DialFunc of real daemons.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		SoftCancel:      true,
+		SoftCancelGrace: softCancelGrace,
+	}
+}
+
+// Peers opens streams to other daemons. Idle connections are kept for reuse;
+// drpc carries one stream on a connection at a time.
+type Peers struct {
+	dial DialFunc
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewPeers returns Peers that connect by dial.
+func NewPeers(dial DialFunc) *Peers {
+	return &Peers{dial: dial, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleTimeout,
+		Capacity:    maxIdle,
+		KeyCapacity: maxIdlePerPeer,
+	})}
+}
+
+// Client returns a client for the daemon at address. The connection is opened
+// or reused when a method is called; a failed dial is returned as DialError.
+func (p *Peers) Client(ctx context.Context, address string) pb.DRPCMeshClient {
+	return pb.NewDRPCMeshClient(p.pool.Get(ctx, address, p.dialPooled))
+}
+
+func (p *Peers) dialPooled(ctx context.Context, address string) (drpcpool.Conn, error) {
+	return p.Dial(ctx, address)
+}
+
+// Dial opens a connection that is not pooled, for long streams.
+func (p *Peers) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Close closes the idle connections.
+func (p *Peers) Close() error { return p.pool.Close() }
+
+// Server serves the Mesh service to other daemons.
+type Server struct {
+	server *drpcserver.Server
+	tasks  *ants.Pool
+	logger *zap.Logger
+}
+
+// NewServer returns a server that runs each accepted connection as one task.
+func NewServer(mesh pb.DRPCMeshServer, tasks *ants.Pool, logger *zap.Logger) (*Server, error) {
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterMesh(mux, mesh); err != nil {
+		return nil, fmt.Errorf("link: register: %w", err)
+	}
+	options := drpcserver.Options{Manager: managerOptions()}
+	return &Server{server: drpcserver.NewWithOptions(mux, options), tasks: tasks, logger: logger}, nil
+}
+
+// Serve accepts connections until ctx ends or the listener fails.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("link: accept: %w", err)
+		}
+		if err := s.tasks.Submit(func() { s.serveConn(ctx, conn) }); err != nil {
+			_ = conn.Close()
+		}
+	}
+}
+
+// ServeConn serves one connection until it ends; tests use it with in-memory
+// connections.
+func (s *Server) ServeConn(ctx context.Context, transport drpc.Transport) error {
+	return s.server.ServeOne(ctx, transport)
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	if err := s.ServeConn(ctx, conn); err != nil && ctx.Err() == nil {
+		eventConnectionFailed.Log(s.logger, zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/pkg/store/standin/standin.go
@@ -0,0 +1,244 @@
+// Package standin is a small in-process stand-in for the platform's object
+// API, with faults that tests switch on. It is not a production store.
+package standin
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/store"
+)
+
+// maxEvents is the number of events kept for watches.
+const maxEvents = 4096
+
+var (
+	errDown       = errors.New("stand-in is down")
+	errLostAnswer = errors.New("answer lost after the write took effect")
+	errTooLarge   = errors.New("value is larger than the store holds")
+)
+
+// Faults selects how the stand-in misbehaves.
+type Faults struct {
+	Down       bool          `json:"down"`
+	Latency    time.Duration `json:"latencyNs"`
+	LoseAnswer float64       `json:"loseAnswer"` // probability that a write's answer is lost
+	CrossOrder bool          `json:"crossOrder"` // deliver watched events in shuffled order
+}
+
+// Counts holds the calls served so far. Waiting is the number of watches that
+// wait now; each was also counted in Watches when it started.
+type Counts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+	Waiting int64 `json:"waiting"`
+	Refused int64 `json:"refused"`
+}
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	objects  map[string]store.Object
+	events   []store.Event // in revision order
+	revision int64
+	changed  chan struct{} // closed and replaced on each write or fault change
+	faults   Faults
+	counts   Counts
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty stand-in whose random faults follow seed.
+func New(seed uint64) *Store {
+	return &Store{
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		objects: make(map[string]store.Object),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults. Waiting watches fail when Down is set.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.notifyLocked()
+}
+
+// Counts returns the calls served so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
+	if err := s.begin(ctx, "get", &s.counts.Reads); err != nil {
+		return store.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return store.Object{}, &store.NotFoundError{Key: key}
+	}
+	return clone(object), nil
+}
+
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
+	if err := s.begin(ctx, "list", &s.counts.Reads); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var objects []store.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			objects = append(objects, clone(object))
+		}
+	}
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Key < objects[j].Key })
+	return objects, s.revision, nil
+}
+
+// Create implements store.Store.
+func (s *Store) Create(ctx context.Context, key string, value []byte) (store.Object, error) {
+	return s.write(ctx, "create", key, value, 0)
+}
+
+// Update implements store.Store.
+func (s *Store) Update(ctx context.Context, key string, value []byte, ifRevision int64) (store.Object, error) {
+	return s.write(ctx, "update", key, value, ifRevision)
+}
+
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, key string, ifRevision int64) error {
+	_, err := s.write(ctx, "delete", key, nil, ifRevision)
+	return err
+}
+
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, from int64) ([]store.Event, int64, error) {
+	if err := s.begin(ctx, "watch", &s.counts.Watches); err != nil {
+		return nil, from, err
+	}
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
+	for {
+		events, next, changed, err := s.eventsAfter(prefix, from)
+		if err != nil || len(events) > 0 {
+			return events, next, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, next, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) addWaiting(n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Waiting += n
+}
+
+func (s *Store) eventsAfter(prefix string, from int64) ([]store.Event, int64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return nil, from, nil, &store.UnavailableError{Op: "watch", Cause: errDown}
+	}
+	if len(s.events) == maxEvents && from < s.events[0].Object.Revision-1 {
+		return nil, from, nil, &store.ExpiredWatchError{Prefix: prefix, From: from, Oldest: s.events[0].Object.Revision}
+	}
+	var events []store.Event
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Object.Revision > from })
+	for _, event := range s.events[first:] {
+		if strings.HasPrefix(event.Object.Key, prefix) {
+			events = append(events, store.Event{Type: event.Type, Object: clone(event.Object)})
+		}
+	}
+	if s.faults.CrossOrder {
+		s.rng.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
+	}
+	return events, s.revision, s.changed, nil
+}
+
+func (s *Store) write(ctx context.Context, op, key string, value []byte, ifRevision int64) (store.Object, error) {
+	if len(value) > store.MaxValueBytes {
+		return store.Object{}, &store.UnavailableError{Op: op, Cause: errTooLarge}
+	}
+	if err := s.begin(ctx, op, &s.counts.Writes); err != nil {
+		return store.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.objects[key]
+	if current.Revision != ifRevision {
+		return store.Object{}, &store.ConflictError{Key: key, Expected: ifRevision, Revision: current.Revision}
+	}
+	s.revision++
+	object := store.Object{Key: key, Revision: s.revision, Value: append([]byte(nil), value...)}
+	event := store.Event{Type: store.EventPut, Object: object}
+	if op == "delete" {
+		delete(s.objects, key)
+		event.Type = store.EventDelete
+	} else {
+		s.objects[key] = object
+	}
+	s.events = append(s.events, event)
+	if len(s.events) > maxEvents {
+		s.events = s.events[len(s.events)-maxEvents:]
+	}
+	s.notifyLocked()
+	if s.faults.LoseAnswer > 0 && s.rng.Float64() < s.faults.LoseAnswer {
+		return store.Object{}, &store.OutcomeUnknownError{Op: op, Key: key, Cause: errLostAnswer}
+	}
+	return clone(object), nil
+}
+
+// begin counts a call, waits out the configured latency and refuses the call
+// while the stand-in is down.
+func (s *Store) begin(ctx context.Context, op string, counter *int64) error {
+	s.mu.Lock()
+	latency, down := s.faults.Latency, s.faults.Down
+	*counter++
+	if down {
+		s.counts.Refused++
+	}
+	s.mu.Unlock()
+	if latency > 0 {
+		select {
+		case <-ctx.Done():
+			return &store.UnavailableError{Op: op, Cause: ctx.Err()}
+		case <-time.After(latency):
+		}
+	}
+	if down {
+		return &store.UnavailableError{Op: op, Cause: errDown}
+	}
+	if err := ctx.Err(); err != nil {
+		return &store.UnavailableError{Op: op, Cause: err}
+	}
+	return nil
+}
+
+func (s *Store) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func clone(o store.Object) store.Object {
+	o.Value = append([]byte(nil), o.Value...)
+	return o
+}
--- /dev/null
+++ b/pkg/telemetry/event.go
@@ -0,0 +1,62 @@
+// Package telemetry holds the numbered log events, the logger and the metrics
+// of a daemon.
+package telemetry
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one entry of the event catalogue in docs/events.md. Numbers are
+// assigned by package: 1000 daemon, 1100 admin, 1200 accept, 1300 domain,
+// 1400 move, 1500 route, 1600 target, 1700 link, 1800 store.
+type Event struct {
+	Number  int
+	Name    string
+	Level   zapcore.Level
+	Meaning string
+}
+
+var registry struct {
+	sync.Mutex
+	events map[int]Event
+}
+
+// NewEvent registers an event. It is called from package variables and panics
+// if the number is taken.
+func NewEvent(number int, name string, level zapcore.Level, meaning string) Event {
+	registry.Lock()
+	defer registry.Unlock()
+	if registry.events == nil {
+		registry.events = make(map[int]Event)
+	}
+	if other, ok := registry.events[number]; ok {
+		panic(fmt.Sprintf("telemetry: event %d is registered as %q and %q", number, other.Name, name))
+	}
+	event := Event{Number: number, Name: name, Level: level, Meaning: meaning}
+	registry.events[number] = event
+	return event
+}
+
+// Events returns the registered events in order of their numbers.
+func Events() []Event {
+	registry.Lock()
+	defer registry.Unlock()
+	events := make([]Event, 0, len(registry.events))
+	for _, event := range registry.events {
+		events = append(events, event)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Number < events[j].Number })
+	return events
+}
+
+// Log writes the event with its number, if its level is enabled.
+func (e Event) Log(logger *zap.Logger, fields ...zap.Field) {
+	if entry := logger.Check(e.Level, e.Name); entry != nil {
+		entry.Write(append(fields, zap.Int("event", e.Number))...)
+	}
+}
