--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -105,6 +105,17 @@
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// Warm opens a connection to address and keeps it idle, so that the first
+// stream to a new peer does not wait for a connection.
+func (p *Peers) Warm(ctx context.Context, address string) error {
+	conn, err := p.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.pool.Put(address, conn)
+	return nil
+}
+
 // Close closes the idle connections.
 func (p *Peers) Close() error { return p.pool.Close() }
 
