--- a/pkg/route/balancer.go
+++ b/pkg/route/balancer.go
@@ -14,6 +14,10 @@
 // daemon's own domain. Below it they spill over, the more the fewer are free.
 const comfortableFree = 0.3
 
+// tieMargin makes small differences a tie, which the random draw decides. A
+// rest of an old penalty then keeps no endpoint out of use.
+const tieMargin = 0.9
+
 // balancer chooses the endpoint of an attempt.
 type balancer struct {
 	name, domain string
@@ -246,7 +250,7 @@
 	}
 	second := s.draw(group, first, now, coldStart)
 	typical := typicalLatency(group)
-	if second.score(now, coldStart, typical) < first.score(now, coldStart, typical) {
+	if second.score(now, coldStart, typical) < tieMargin*first.score(now, coldStart, typical) {
 		return second
 	}
 	return first
--- a/pkg/route/routetest/target.go
+++ b/pkg/route/routetest/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"go.uber.org/zap"
@@ -21,6 +22,9 @@
 // maxTasks bounds the connections of one set of stand-in targets.
 const maxTasks = 4096
 
+// releaseTime bounds the wait for handlers at the end of a test.
+const releaseTime = 5 * time.Second
+
 // Result is the reply of a stand-in target side.
 type Result struct {
 	Head *pb.AnswerHead
@@ -122,7 +126,10 @@
 			}
 		}
 		n.mu.Unlock()
-		tasks.Release()
+		// Handlers that still run for calls that were given up are waited for.
+		if err := tasks.ReleaseTimeout(releaseTime); err != nil {
+			tb.Errorf("stand-in targets still run: %v", err)
+		}
 	})
 	return n
 }
--- a/pkg/route/targetstate.go
+++ b/pkg/route/targetstate.go
@@ -17,6 +17,10 @@
 	// in a row, or when about half of its attempts fail.
 	failureWeight = 0.2
 	failureLimit  = 0.45
+	// penaltyHalfLife ages what earlier failures and slow answers say. Without
+	// it, an endpoint that failed once would never be drawn again while others
+	// are idle.
+	penaltyHalfLife = 5 * time.Second
 	// latencyWeight smooths the latency of attempts.
 	latencyWeight = 0.1
 	// setAsideInitial and setAsideMax bound the time for which an endpoint is
@@ -42,8 +46,9 @@
 	loadAt       time.Time
 	loadInFlight int // own calls in flight when the load was reported
 
-	latency  float64 // smoothed, seconds
-	failures float64 // smoothed share of failed attempts
+	latency  float64   // smoothed, seconds
+	failures float64   // smoothed share of failed attempts
+	observed time.Time // of the last attempt that said something
 
 	setAsideUntil time.Time // zero unless set aside or probed
 	hard          bool      // set aside because it cannot be reached
@@ -69,7 +74,7 @@
 		return float64(t.inFlight)
 	}
 	age := now.Sub(t.loadAt)
-	reported := float64(t.load.GetInUse()+t.load.GetQueued()) * math.Exp2(-float64(age)/float64(loadHalfLife))
+	reported := float64(t.load.GetInUse()+t.load.GetQueued()) * halved(age, loadHalfLife)
 	since := t.inFlight - t.loadInFlight
 	return max(reported+float64(since), float64(t.inFlight))
 }
@@ -97,7 +102,13 @@
 		// often fast; it is avoided for being slow.
 		relative = max(1, t.latency/typicalLatency)
 	}
-	return load * relative * (1 + t.failures)
+	penalty := relative*(1+t.failures) - 1
+	return load * (1 + penalty*halved(now.Sub(t.observed), penaltyHalfLife))
+}
+
+// halved returns the weight that is left after the given age.
+func halved(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
 // available reports whether the endpoint may get a call, and whether that call
@@ -148,6 +159,9 @@
 	if load != nil {
 		t.load, t.loadAt, t.loadInFlight = load, now, t.inFlight
 	}
+	if v != verdictNeutral {
+		t.observed = now
+	}
 	aside := !t.setAsideUntil.IsZero()
 	switch v {
 	case verdictGood:
