Measure the caller side

Cause: the bound of 1.6 ms on the added time and the cost of a call were not measured.

Change: test/measure/route measures the added time at 1 and 12 hops, the cost of a call, memory of idle caller connections, goodput against two baselines in virtual time, and retries over 12 hops.

Under overload the policies differ by less than two standard errors, so the comparison allows for that much.

--- /dev/null
+++ b/test/measure/route/goodput.go
@@ -0,0 +1,162 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/config"
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/route"
+	"nutmegstand.example/nutmegstand/pkg/route/routetest"
+	"nutmegstand.example/nutmegstand/test/measure/report"
+)
+
+const (
+	goodputTargets  = 10
+	goodputSlots    = 10
+	goodputService  = 20 * time.Millisecond
+	goodputDeadline = 300 * time.Millisecond
+	goodputCallers  = 4
+	slowFactor      = 10
+	// settleTime at the start is not counted; it is the same for all policies.
+	settleTime = time.Second
+)
+
+// goodputCase is a fault of some of the targets under a given load.
+type goodputCase struct {
+	name string
+	bad  int     // targets that fail at once
+	slow int     // targets that are slowFactor times slower
+	load float64 // offered, as a part of the capacity of all healthy targets
+}
+
+// policy makes one call and reports whether it was answered well.
+type policy func(ctx context.Context) bool
+
+// policyMaker builds a policy for one caller.
+type policyMaker func(tb testing.TB, f *fleet, caller int, seed uint64) policy
+
+// routerPolicy is the router of this project.
+func routerPolicy(tb testing.TB, f *fleet, caller int, seed uint64) policy {
+	tb.Helper()
+	var s routetest.Surroundings
+	service := config.Service{Name: "hop", Version: "v1", Slots: goodputSlots, Routes: []config.Route{
+		{Name: "get", Host: host, Path: "/", Idempotent: true, Deadline: config.Duration(goodputDeadline), Retry: &config.Retry{Attempts: 3}},
+	}}
+	s.Config.Snapshot.Store(routetest.Snapshot(tb, []string{"hop"}, service))
+	s.Endpoints.Set("hop", routetest.Ready("hop", "v1", "a", goodputTargets, goodputSlots)...)
+	options := s.Options(f, "a")
+	options.Name, options.Seed = fmt.Sprint("caller-", caller), seed*100+uint64(caller)+1
+	router, err := route.New(options)
+	if err != nil {
+		tb.Fatalf("router: %v", err)
+	}
+	return func(ctx context.Context) bool {
+		answer, err := router.Route(ctx, &route.Call{Method: "GET", Host: host, Path: "/", Target: "/"})
+		return err == nil && answer.Status == 200
+	}
+}
+
+// roundRobin calls the targets in turn, with so many immediate retries after
+// any failure, and learns nothing.
+func roundRobin(retries int) policyMaker {
+	return func(_ testing.TB, f *fleet, caller int, _ uint64) policy {
+		var next atomic.Int64
+		next.Store(int64(caller))
+		endpoints := routetest.Ready("hop", "v1", "a", goodputTargets, goodputSlots)
+		return func(ctx context.Context) bool {
+			ctx, cancel := context.WithTimeout(ctx, goodputDeadline)
+			defer cancel()
+			for range 1 + retries {
+				e := endpoints[int(next.Add(1))%len(endpoints)]
+				reply, err := f.Send(ctx, e.GetAddress(), nil, nil)
+				if err == nil && reply.Head.GetOutcome() == pb.Outcome_OUTCOME_ANSWERED && reply.Head.GetStatus() == 200 {
+					return true
+				}
+				if ctx.Err() != nil {
+					return false
+				}
+			}
+			return false
+		}
+	}
+}
+
+// goodput runs one policy and returns the part of the calls that were answered
+// well, and the attempts for each call.
+func goodput(tb testing.TB, c goodputCase, maker policyMaker, seed uint64, length time.Duration) (good, attempts, offered float64) {
+	tb.Helper()
+	f := &fleet{targets: map[string]*queueTarget{}}
+	for i, e := range routetest.Ready("hop", "v1", "a", goodputTargets, goodputSlots) {
+		service := goodputService
+		if i >= c.bad && i < c.bad+c.slow {
+			service *= slowFactor
+		}
+		f.targets[e.GetAddress()] = newQueueTarget(goodputSlots, service, i < c.bad, seed*1000+uint64(i))
+	}
+	policies := make([]policy, goodputCallers)
+	for i := range policies {
+		policies[i] = maker(tb, f, i, seed)
+	}
+	healthy := float64(goodputTargets-c.bad-c.slow) * goodputSlots / goodputService.Seconds()
+	random := rand.New(rand.NewPCG(seed, 3))
+	var calls, answered atomic.Int64
+	var group sync.WaitGroup
+	start := time.Now()
+	for i := 0; time.Since(start) < length; i++ {
+		counted := time.Since(start) >= settleTime
+		if counted {
+			calls.Add(1)
+		}
+		one := policies[i%goodputCallers]
+		group.Go(func() {
+			if one(context.Background()) && counted {
+				answered.Add(1)
+			}
+		})
+		time.Sleep(time.Duration(random.ExpFloat64() / (c.load * healthy) * float64(time.Second)))
+	}
+	group.Wait()
+	offered = float64(calls.Load())
+	counted := float64(length-settleTime) / float64(length)
+	return float64(answered.Load()) / offered, float64(f.attempts) * counted / offered, offered
+}
+
+// noise is two standard errors of the difference between two parts of so many
+// calls. Under overload every policy that keeps the targets busy reaches their
+// capacity, and the rest is chance.
+func noise(part, calls float64) float64 {
+	return 2 * math.Sqrt(2*part*(1-part)/calls)
+}
+
+// measureGoodput compares the router with the baselines on the same seeds. It
+// must not be worse than the better one by more than chance.
+func measureGoodput(t *testing.T, c goodputCase, seeds []uint64, length time.Duration) {
+	t.Helper()
+	policies := []struct {
+		name  string
+		maker policyMaker
+	}{
+		{"round robin without limits", roundRobin(0)},
+		{"three immediate retries", roundRobin(3)},
+		{"router", routerPolicy},
+	}
+	for _, seed := range seeds {
+		best := 0.0
+		for _, p := range policies {
+			var good, attempts, calls float64
+			synctest.Test(t, func(t *testing.T) { good, attempts, calls = goodput(t, c, p.maker, seed, length) })
+			own := p.name == "router"
+			report.Emit(t, report.Line{Measure: "goodput", Case: c.name + ", " + p.name, Seed: seed, Value: good, Unit: "part of calls", OK: !own || good >= best-noise(best, calls)})
+			report.Emit(t, report.Line{Measure: "attempts", Case: c.name + ", " + p.name, Seed: seed, Value: attempts, Unit: "per call", OK: true})
+			best = max(best, good)
+		}
+	}
+}
--- /dev/null
+++ b/test/measure/route/path.go
@@ -0,0 +1,233 @@
+// Package route measures the caller side: the time that it adds to a call, what
+// a call costs, goodput with bad or slow targets, and retries over long chains.
+// The drivers are ordinary functions; the tests run them.
+package route
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"nutmegstand.example/nutmegstand/pkg/config"
+	"nutmegstand.example/nutmegstand/pkg/link"
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/route"
+	"nutmegstand.example/nutmegstand/pkg/route/chain"
+	"nutmegstand.example/nutmegstand/pkg/route/routetest"
+	"nutmegstand.example/nutmegstand/pkg/telemetry"
+)
+
+const (
+	host       = "hop.example"
+	hopsHeader = "X-Hops" // calls that a stand-in target still makes
+	answerSize = 512
+	// maxTasks bounds the connections of one path.
+	maxTasks = 4096
+	// callDeadline is long, so that a loaded machine cuts no measured call.
+	callDeadline = 10 * time.Second
+)
+
+// httpTarget is the stand-in target: it answers 512 bytes, after a call to the
+// next hop if it is told to make one. It copies the headers of the chain.
+type httpTarget struct {
+	client *http.Client
+	next   string // address of the local listener, empty to call itself
+	self   string
+}
+
+// chainHeaders are the headers that a target copies to the calls it makes.
+var chainHeaders = []string{chain.Member, chain.CallID, chain.DeadlineAt, chain.Depth, chain.Attempts}
+
+func (h *httpTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if left, _ := strconv.Atoi(r.Header.Get(hopsHeader)); left > 1 {
+		if err := h.callNext(r, left-1); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
+	_, _ = w.Write(bytes.Repeat([]byte{'a'}, answerSize))
+}
+
+func (h *httpTarget) callNext(r *http.Request, left int) error {
+	address := h.self
+	if h.next != "" && r.Header.Get(chain.CallID) != "" {
+		address = h.next
+	}
+	header := http.Header{hopsHeader: {strconv.Itoa(left)}}
+	for _, name := range chainHeaders {
+		if values := r.Header[name]; address == h.next && len(values) > 0 {
+			header[name] = values
+		}
+	}
+	return call(r.Context(), h.client, address, header)
+}
+
+// call makes one GET call and reads the whole answer.
+func call(ctx context.Context, client *http.Client, address string, header http.Header) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/x", nil)
+	if err != nil {
+		return err
+	}
+	request.Host, request.Header = host, header
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	n, err := io.Copy(io.Discard, response.Body)
+	if err == nil && (response.StatusCode != http.StatusOK || n != answerSize) {
+		err = &badAnswerError{status: response.StatusCode, bytes: n}
+	}
+	return err
+}
+
+type badAnswerError struct {
+	status int
+	bytes  int64
+}
+
+func (e *badAnswerError) Error() string {
+	return "answer with status " + strconv.Itoa(e.status) + " and " + strconv.FormatInt(e.bytes, 10) + " bytes"
+}
+
+// path is a caller's daemon with a target side and a target, all over loopback
+// connections.
+type path struct {
+	routetest.Surroundings
+	entry  string // address for outside callers
+	target string // address of the target itself
+	client *http.Client
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+}
+
+// hopService is one service that all hops of a chain belong to.
+func hopService() config.Service {
+	return config.Service{Name: "hop", Version: "v1", Slots: 1000, Routes: []config.Route{
+		{Name: "get", Host: host, Path: "/", Idempotent: true, Deadline: config.Duration(callDeadline)},
+	}}
+}
+
+// newPath sets up a path. With logged set, decision lines go to a file.
+func newPath(tb testing.TB, logged bool) *path {
+	tb.Helper()
+	p := &path{client: newClient()}
+	tasks, err := ants.NewPool(maxTasks)
+	if err != nil {
+		tb.Fatalf("task pool: %v", err)
+	}
+	tb.Cleanup(tasks.Release)
+	target := &httpTarget{client: p.client}
+	p.target = serveHTTP(tb, target)
+	target.self = p.target
+	side := routetest.ServeTCP(tb, tasks, forward(p.client, p.target))
+
+	p.Config.Snapshot.Store(routetest.Snapshot(tb, []string{"hop"}, hopService()))
+	endpoint := routetest.Ready("hop", "v1", "a", 1, 1000)[0]
+	endpoint.Address = side
+	p.Endpoints.Set("hop", endpoint)
+	peers := link.NewPeers(link.DialTCP)
+	tb.Cleanup(func() { _ = peers.Close() })
+	options := p.Options(route.NewMeshSender(peers), "a")
+	options.Logger = fileLogger(tb, logged)
+	router, err := route.New(options)
+	if err != nil {
+		tb.Fatalf("router: %v", err)
+	}
+	p.entry = serveEntry(tb, router, false)
+	target.next = serveEntry(tb, router, true)
+	return p
+}
+
+// fileLogger logs to a file, or nothing.
+func fileLogger(tb testing.TB, logged bool) *zap.Logger {
+	tb.Helper()
+	if !logged {
+		return zap.NewNop()
+	}
+	file, err := os.CreateTemp(tb.TempDir(), "decisions")
+	if err != nil {
+		tb.Fatalf("log file: %v", err)
+	}
+	logger, stop := telemetry.NewLogger(file, zapcore.InfoLevel)
+	tb.Cleanup(func() { stop(); _ = file.Close() })
+	return logger
+}
+
+func serveHTTP(tb testing.TB, handler http.Handler) string {
+	tb.Helper()
+	listener := listen(tb)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	tb.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func listen(tb testing.TB) net.Listener {
+	tb.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatalf("listen: %v", err)
+	}
+	return listener
+}
+
+func serveEntry(tb testing.TB, router *route.Router, local bool) string {
+	tb.Helper()
+	listener := listen(tb)
+	entry := route.NewEntry(route.EntryOptions{
+		Listener: listener, Router: router, Logger: zap.NewNop(), Local: local, Linger: time.Millisecond,
+	})
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = entry.Serve() }()
+	tb.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		entry.Drain(ctx)
+		<-ended
+	})
+	return listener.Addr().String()
+}
+
+// forward is a minimal target side: it makes the HTTP call to the target, with
+// the headers of the chain, and returns the whole answer.
+func forward(client *http.Client, target string) routetest.Handler {
+	return func(ctx context.Context, head *pb.CallHead, body []byte) routetest.Result {
+		request, err := http.NewRequestWithContext(ctx, head.GetMethod(), "http://"+target+head.GetPath(), bytes.NewReader(body))
+		if err != nil {
+			return routetest.Result{Drop: true}
+		}
+		request.Host = head.GetHost()
+		for _, h := range append(chain.FromHead(head, time.Now()).Headers(), head.GetHeaders()...) {
+			request.Header[h.GetName()] = append(request.Header[h.GetName()], h.GetValue())
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return routetest.Result{Drop: true}
+		}
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		if err != nil {
+			return routetest.Result{Drop: true}
+		}
+		result := routetest.Answer(response.StatusCode, data)
+		result.Head.Load = &pb.Load{Slots: 1000, InUse: 1}
+		for name, values := range response.Header {
+			result.Head.Headers = append(result.Head.Headers, &pb.Header{Name: name, Value: strings.Join(values, ", ")})
+		}
+		return result
+	}
+}
--- /dev/null
+++ b/test/measure/route/route_test.go
@@ -0,0 +1,55 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"nutmegstand.example/nutmegstand/test/measure/report"
+)
+
+// size returns the number of repetitions of the full and of the small part.
+func size(full, small int) int {
+	if report.Full() {
+		return full
+	}
+	return small
+}
+
+// TestAddedTime guards against a daemon that adds more than 1.6 ms to a call at
+// the 99th percentile.
+func TestAddedTime(t *testing.T) {
+	for _, logged := range []bool{false, true} {
+		measureAddedTime(t, 1, size(6000, 1500), logged)
+		measureAddedTime(t, 12, size(1000, 250), logged)
+	}
+}
+
+// TestCost guards against calls that fail under concurrent load, and reports
+// what a call costs.
+func TestCost(t *testing.T) {
+	for _, logged := range []bool{false, true} {
+		measureRouterCost(t, size(400000, 100000), logged)
+	}
+	measurePathCost(t, size(20000, 4000))
+	measureIdleConnections(t, size(1500, 300))
+}
+
+// TestGoodput guards against a router that answers fewer calls than the simple
+// policies when some targets are bad or slow, or all are overloaded.
+func TestGoodput(t *testing.T) {
+	seeds := []uint64{101, 102, 103, 104, 105}[:size(5, 1)]
+	for _, c := range []goodputCase{
+		{name: "all healthy", load: 0.7},
+		{name: "2 of 10 bad", bad: 2, load: 0.7},
+		{name: "2 of 10 slow", slow: 2, load: 0.7},
+		{name: "overload", load: 1.3},
+		{name: "2 of 10 bad and overload", bad: 2, load: 1.3},
+	} {
+		measureGoodput(t, c, seeds, time.Duration(size(10, 4))*time.Second)
+	}
+}
+
+// TestAmplification guards against retries that multiply over a chain of calls.
+func TestAmplification(t *testing.T) {
+	measureAmplification(t, size(5000, 1000))
+}
