--- /dev/null
+++ b/pkg/target/keys_test.go
@@ -0,0 +1,134 @@
+package target_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/target"
+	"nutmegstand.example/nutmegstand/pkg/target/faketarget"
+)
+
+// TestRepeats guards what a repeat of a key gets: it waits during the run, gets
+// the stored answer after it, is refused with another body, and gets no answer
+// once only a mark is kept.
+func TestRepeats(t *testing.T) {
+	for _, dated := range []bool{true, false} {
+		virtual(t, func(t *testing.T) {
+			d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: slow(100 * time.Millisecond)})
+			key := "order-17"
+			if dated {
+				key = faketarget.Key(time.Now(), 17)
+			}
+			order := func() *pb.CallHead { return faketarget.Order("c", key, time.Second) }
+			start := time.Now()
+			first := do(context.Background(), d, order())
+			synctest.Wait()
+			second := do(context.Background(), d, order())
+			got, repeated := <-first, <-second
+			assert.Equal(t, got.head.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+			assert.Equal(t, repeated.head.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+			assert.Equal(t, repeated.body, got.body)
+			assert.Equal(t, repeated.at.Sub(start), 100*time.Millisecond)
+
+			time.Sleep(9 * time.Minute)
+			answer, body := d.Gate.Do(context.Background(), order(), nil)
+			assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+			assert.Equal(t, string(body), got.body)
+
+			answer, _ = d.Gate.Do(context.Background(), order(), []byte("another body"))
+			assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_BAD_REQUEST)
+			assert.Equal(t, answer.GetStatus(), int32(422))
+
+			other := order()
+			other.Member = "shop-2"
+			if !dated { // a dated key of this age is only looked up
+				answer, _ = d.Gate.Do(context.Background(), other, nil)
+				assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED, "two members shared a key")
+			}
+
+			for _, pause := range []time.Duration{time.Minute, 49 * time.Minute} {
+				time.Sleep(pause)
+				answer, body = d.Gate.Do(context.Background(), order(), nil)
+				assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_UNKNOWN)
+				assert.Equal(t, len(body), 0)
+			}
+			for _, run := range d.Target.Runs()[1:] {
+				assert.Equal(t, run.Member, "shop-2", "the key ran again")
+			}
+		})
+	}
+}
+
+// TestRunGoesOnWithoutCaller guards the stored answer of an order whose caller
+// left during the run.
+func TestRunGoesOnWithoutCaller(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: slow(100 * time.Millisecond)})
+		order := faketarget.Order("c", faketarget.Key(time.Now(), 1), time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		first := do(ctx, d, order)
+		synctest.Wait()
+		cancel()
+		<-first
+		answer, _ := d.Gate.Do(context.Background(), order, nil)
+		assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+		assert.Equal(t, len(d.Target.Runs()), 1)
+	})
+}
+
+// TestRepeatWhileDraining guards the answer to a repeat at a target that is
+// leaving: the order ran, so "not run" would be a lie.
+func TestRepeatWhileDraining(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1"})
+		order := faketarget.Order("c", faketarget.Key(time.Now(), 1), time.Second)
+		_, _ = d.Gate.Do(context.Background(), order, nil)
+		d.Gate.Leave()
+		answer, _ := d.Gate.Do(context.Background(), order, nil)
+		assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+	})
+}
+
+// TestRepeatAfterRefusal guards a repeat of an order that was refused: the
+// refusal leaves no trace, and a repeat that waited for it runs.
+func TestRepeatAfterRefusal(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		d := faketarget.NewDaemon(faketarget.Config{
+			Name: "vm-1", Script: slow(100 * time.Millisecond), Limits: target.Limits{Slots: 1, Connections: 1},
+		})
+		busy := do(context.Background(), d, faketarget.Call("busy", "/", time.Second))
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		order := faketarget.Order("c", faketarget.Key(time.Now(), 1), time.Second)
+		first := do(ctx, d, order)
+		synctest.Wait()
+		second := do(context.Background(), d, order)
+		synctest.Wait()
+		cancel()
+		assert.Equal(t, (<-first).head.GetRefusal(), pb.Refusal_REFUSAL_CANCELLED)
+		assert.Equal(t, (<-second).head.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+		<-busy
+		assert.Equal(t, len(d.Target.Runs()), 2)
+	})
+}
+
+// TestUnknownIsRemembered guards against running an order again after a crash.
+func TestUnknownIsRemembered(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: slow(100 * time.Millisecond)})
+		order := faketarget.Order("c", faketarget.Key(time.Now(), 1), time.Second)
+		first := do(context.Background(), d, order)
+		synctest.Wait()
+		d.Target.Crash()
+		assert.Equal(t, (<-first).head.GetOutcome(), pb.Outcome_OUTCOME_UNKNOWN)
+		time.Sleep(5 * time.Second)
+		answer, _ := d.Gate.Do(context.Background(), order, nil)
+		assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_UNKNOWN)
+		assert.Equal(t, len(d.Target.Runs()), 1)
+	})
+}
--- /dev/null
+++ b/test/measure/target/stops.go
@@ -0,0 +1,107 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/target"
+	"nutmegstand.example/nutmegstand/pkg/target/faketarget"
+	"nutmegstand.example/nutmegstand/test/measure/report"
+)
+
+const (
+	stopInterval  = 400 * time.Millisecond
+	stopPause     = 50 * time.Millisecond
+	drainDeadline = 2 * time.Second
+	// stopLoad leaves a queue at most times, so that calls wait when a stop comes.
+	stopLoad = 1.2
+)
+
+// stopResult is what planned stops did to the calls.
+type stopResult struct {
+	calls, stops, unknown, cut, newWork, refusedRun int
+}
+
+// runStops stops and restarts the target again and again under load.
+func runStops(seed uint64, duration time.Duration) stopResult {
+	plan := planLoad(seed, duration, even(stopLoad))
+	fake := faketarget.New(faketarget.Script{Latency: func(r *target.Request) time.Duration {
+		var i int
+		_, _ = fmt.Sscan(r.Head.GetCallId(), &i)
+		return plan.calls[i].latency
+	}, Restart: stopPause / 2})
+	daemon := faketarget.NewDaemon(faketarget.Config{
+		Name: "vm-1", Target: fake, Limits: target.Limits{Slots: loadSlots, Connections: 130},
+	})
+	result := stopResult{calls: len(plan.calls)}
+	var mu sync.Mutex
+	notRun := map[string]bool{}
+	var closed [][2]time.Time
+	var wait sync.WaitGroup
+	start := time.Now()
+	wait.Go(func() {
+		for n := 1; time.Since(start) < duration; n++ {
+			time.Sleep(stopInterval)
+			ctx, cancel := context.WithTimeout(context.Background(), drainDeadline)
+			left := time.Now()
+			result.cut += daemon.Local.Leave(ctx).Cut
+			cancel()
+			fake.Crash() // the process ends; whatever it still ran is cut
+			time.Sleep(stopPause)
+			closed = append(closed, [2]time.Time{left, time.Now()})
+			if err := daemon.Local.Announce(faketarget.Announcement(fmt.Sprint(n))); err != nil {
+				panic(err)
+			}
+			result.stops++
+		}
+	})
+	for i, call := range plan.calls {
+		time.Sleep(time.Until(start.Add(call.at)))
+		wait.Go(func() {
+			// The deadline is longer than any run, so that only a stop can cut.
+			head := faketarget.Call(fmt.Sprint(i), "/stock", longDeadline)
+			answer, _ := daemon.Gate.Do(context.Background(), head, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			switch answer.GetOutcome() {
+			case pb.Outcome_OUTCOME_UNKNOWN:
+				result.unknown++
+			case pb.Outcome_OUTCOME_NOT_RUN:
+				notRun[head.GetCallId()] = true
+			}
+		})
+	}
+	wait.Wait()
+	for _, run := range fake.Runs() {
+		if notRun[run.CallID] {
+			result.refusedRun++
+		}
+		for _, span := range closed {
+			if run.Started.After(span[0]) && run.Started.Before(span[1]) {
+				result.newWork++
+			}
+		}
+	}
+	return result
+}
+
+// measureStops emits the calls that planned stops cut.
+func measureStops(t testing.TB, virtual func(func()), seed uint64) {
+	duration := 4 * time.Second
+	if report.Full() {
+		duration = 30 * time.Second
+	}
+	var result stopResult
+	virtual(func() { result = runStops(seed, duration) })
+	name := fmt.Sprintf("%d planned stops of a target, %d calls", result.stops, result.calls)
+	emitZero(t, "calls_cut", name, seed, result.cut+result.unknown)
+	emitZero(t, "false_not_run", name, seed, result.refusedRun)
+	emitZero(t, "new_work_while_leaving", name, seed, result.newWork)
+	if result.stops == 0 {
+		t.Errorf("seed %d: no stop happened", seed)
+	}
+}
