--- a/pkg/target/faketarget/daemon.go
+++ b/pkg/target/faketarget/daemon.go
@@ -78,9 +78,9 @@
 	})
 	d.Gate = target.NewGate(target.Options{
 		Name: config.Name, Backend: d.Target, Queue: config.Queue,
-		Lease:         func() time.Time { return time.Unix(0, d.LeaseEnd.Load()) },
-		TakenBack:     func(string, string) bool { return d.TakenBack.Load() },
-		Endpoints:     func(string) []*pb.Endpoint { return (*d.View.Load())() },
+		Lease:     func() time.Time { return time.Unix(0, d.LeaseEnd.Load()) },
+		TakenBack: func(string, string) bool { return d.TakenBack.Load() },
+		Endpoints: func(string) []*pb.Endpoint { return (*d.View.Load())() },
 		Holds: func(string) bool {
 			if d.OnCheck != nil {
 				d.OnCheck()
--- a/pkg/target/faketarget/faketarget.go
+++ b/pkg/target/faketarget/faketarget.go
@@ -34,7 +34,10 @@
 	Kills func(request *target.Request) bool
 	// Cuts reports whether the answer is cut after the work is done.
 	Cuts func(request *target.Request) bool
-	// Restart is the time that the target is down after a crash.
+	// Resets reports whether the connection is reset after the work is done.
+	Resets func(request *target.Request) bool
+	// Restart is the time that the target is down after a crash. With 0 it is
+	// up again before anybody can look; with a negative time it stays down.
 	Restart time.Duration
 }
 
@@ -78,8 +81,7 @@
 	return &exchange{target: t, life: t.life}, nil
 }
 
-// Crash ends all runs in progress. The target is up again after the restart
-// time; with a negative one it stays down.
+// Crash ends all runs in progress.
 func (t *Target) Crash() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -91,11 +93,11 @@
 		return
 	}
 	t.crashes++
-	t.down = true
+	t.down = t.script.Restart != 0
 	close(t.life)
 	t.life = make(chan struct{})
 	t.active = 0
-	if t.script.Restart >= 0 {
+	if t.script.Restart > 0 {
 		time.AfterFunc(t.script.Restart, func() {
 			t.mu.Lock()
 			defer t.mu.Unlock()
@@ -164,6 +166,9 @@
 	if t.script.Kills != nil && t.script.Kills(request) {
 		return nil, &target.CutError{Reset: true, Cause: io.EOF}
 	}
+	if t.script.Resets != nil && t.script.Resets(request) {
+		return nil, &target.CutError{Reset: true, Cause: io.EOF}
+	}
 	if t.script.Cuts != nil && t.script.Cuts(request) {
 		return nil, &target.CutError{Cause: errors.New("faketarget: answer cut by script")}
 	}
--- a/pkg/target/gate_test.go
+++ b/pkg/target/gate_test.go
@@ -85,7 +85,7 @@
 	}
 	for refusal, prepare := range cases {
 		virtual(t, func(t *testing.T) {
-			d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1"})
+			d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: faketarget.Script{Restart: time.Second}})
 			ctx, head := prepare(d)
 			answer, _ := d.Gate.Do(ctx, head, nil)
 			assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_NOT_RUN, refusal.String())
--- a/pkg/target/keys_test.go
+++ b/pkg/target/keys_test.go
@@ -120,7 +120,9 @@
 // TestUnknownIsRemembered guards against running an order again after a crash.
 func TestUnknownIsRemembered(t *testing.T) {
 	virtual(t, func(t *testing.T) {
-		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: slow(100 * time.Millisecond)})
+		script := slow(100 * time.Millisecond)
+		script.Restart = time.Second
+		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: script})
 		order := faketarget.Order("c", faketarget.Key(time.Now(), 1), time.Second)
 		first := do(context.Background(), d, order)
 		synctest.Wait()
