--- a/pkg/target/gate_test.go
+++ b/pkg/target/gate_test.go
@@ -246,5 +246,14 @@
 			}
 		}
 		assert.Equal(t, answered, 100)
+
+		latency = 2 * time.Second
+		_, _ = d.Gate.Do(context.Background(), faketarget.Call("slow", "/", 3*time.Second), nil)
+		latency = time.Millisecond
+		time.Sleep(10 * time.Second)
+		first := do(context.Background(), d, faketarget.Call("first", "/", 50*time.Millisecond))
+		second := do(context.Background(), d, faketarget.Call("second", "/", 50*time.Millisecond))
+		assert.Equal(t, (<-first).head.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+		assert.Equal(t, (<-second).head.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
 	})
 }
