--- /dev/null
+++ b/pkg/move/counts.go
@@ -0,0 +1,66 @@
+package move
+
+import "nutmegstand.example/nutmegstand/pkg/pb"
+
+// Outcome is the result of one attempt as far as a move is concerned.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// OutcomeOK is a whole answer that is not a server error.
+	OutcomeOK Outcome = iota
+	// OutcomeFailed is a server error, or an attempt that was handed over and
+	// got no whole answer in time.
+	OutcomeFailed
+	// OutcomeCrashed is an attempt during which the target process died.
+	OutcomeCrashed
+	// OutcomeExcluded says nothing about the version: not run, cancelled by the
+	// caller, a crash explained by a suspect request, or a target that is
+	// still in its cold start (see Warmup).
+	OutcomeExcluded
+)
+
+// Counts holds cumulative counts of attempts. Failures do not include crashes.
+// The latency histogram holds successful attempts only.
+type Counts struct {
+	Attempts uint64
+	Failures uint64
+	Crashes  uint64
+	Latency  histogram
+}
+
+func (c *Counts) add(d *Counts) {
+	c.Attempts += d.Attempts
+	c.Failures += d.Failures
+	c.Crashes += d.Crashes
+	for i := range c.Latency {
+		c.Latency[i] += d.Latency[i]
+	}
+}
+
+// sub returns c-d and whether no counter of c is below that of d.
+func (c *Counts) sub(d *Counts) (Counts, bool) {
+	ok := c.Attempts >= d.Attempts && c.Failures >= d.Failures && c.Crashes >= d.Crashes
+	r := Counts{Attempts: c.Attempts - d.Attempts, Failures: c.Failures - d.Failures, Crashes: c.Crashes - d.Crashes}
+	for i := range c.Latency {
+		ok = ok && c.Latency[i] >= d.Latency[i]
+		r.Latency[i] = c.Latency[i] - d.Latency[i]
+	}
+	return r, ok
+}
+
+// encodeInto writes the counts without trailing empty buckets.
+func (c *Counts) encodeInto(e *pb.Evidence) {
+	e.Attempts, e.Failures, e.Crashes = c.Attempts, c.Failures, c.Crashes
+	last := len(c.Latency)
+	for last > 0 && c.Latency[last-1] == 0 {
+		last--
+	}
+	e.LatencyBuckets = append([]uint64(nil), c.Latency[:last]...)
+}
+
+func decodeCounts(e *pb.Evidence) Counts {
+	c := Counts{Attempts: e.GetAttempts(), Failures: e.GetFailures(), Crashes: e.GetCrashes()}
+	copy(c.Latency[:], e.GetLatencyBuckets())
+	return c
+}
--- /dev/null
+++ b/pkg/move/judge_test.go
@@ -0,0 +1,209 @@
+package move
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"nutmegstand.example/nutmegstand/pkg/config"
+	"nutmegstand.example/nutmegstand/pkg/pb"
+)
+
+var testStart = time.Date(2026, time.January, 5, 6, 0, 0, 0, time.UTC)
+
+func testPlan() Plan {
+	return Plan{
+		Identity: Identity{Service: "orders", Move: "m", Generation: 3, From: "v1", To: "v2"},
+		By:       testStart.Add(time.Hour), Caution: Settings(config.CautionNormal),
+		Routes: map[string]bool{"look-up": true, "order": false}, Slots: 10,
+	}
+}
+
+// TestWealthIsBoundedWithoutFault guards against a false alarm rate above the
+// limit: without a fault the process may exceed 1/rate in at most that part of
+// the runs, however often it is looked at.
+func TestWealthIsBoundedWithoutFault(t *testing.T) {
+	const runs, windows, limit = 2000, 300, 20.0
+	crossed := 0
+	for run := range runs {
+		rng := rand.New(rand.NewPCG(uint64(run), 7))
+		w := newWealth(1)
+		highest := 0.0
+		for i := range windows {
+			failure, share := 0.02, 0.1
+			if i%50 > 40 {
+				failure = 0.6 // a common cause
+			}
+			var c comparison
+			for range rng.IntN(80) {
+				v := 0
+				if rng.Float64() < share {
+					v = 1
+				}
+				c.attempts[v]++
+				if rng.Float64() < failure {
+					c.events[v]++
+				}
+			}
+			w.update(c.ratios(share))
+			highest = max(highest, w.value())
+		}
+		if highest >= limit {
+			crossed++
+		}
+	}
+	assert.Assert(t, float64(crossed) <= runs/limit, "%d of %d runs crossed %v", crossed, runs, limit)
+}
+
+// feeder feeds a judge with sums of one domain.
+type feeder struct {
+	j    *Judge
+	now  time.Time
+	sums map[string]*Sum
+}
+
+func newFeeder(stage Stage) *feeder {
+	f := &feeder{now: testStart, sums: map[string]*Sum{}}
+	f.j = NewJudge(testPlan(), stage, f.now)
+	for route, idempotent := range testPlan().Routes {
+		f.sums[route] = &Sum{Route: route, Domain: "a", Idempotent: idempotent}
+	}
+	return f
+}
+
+func (f *feeder) observe() {
+	f.now = f.now.Add(time.Second)
+	f.j.Observe(f.now, []Sum{*f.sums["look-up"], *f.sums["order"]})
+}
+
+func addOutcomes(c *Counts, ok, failed uint64, latency time.Duration) {
+	c.Attempts += ok + failed
+	c.Failures += failed
+	c.Latency[bucketOf(latency)] += ok
+}
+
+func movingStage(share float64) Stage {
+	return Stage{State: pb.MoveState_MOVE_MOVING, Share: share, NonIdempotent: share, MaxNewTargets: 1, Since: testStart}
+}
+
+// TestJudgeFindsFaults guards against a fault that the judge does not see, and
+// against common causes that it takes for one.
+func TestJudgeFindsFaults(t *testing.T) {
+	type mix struct {
+		oldOK, oldFailed, newOK, newFailed uint64
+		oldLatency, newLatency             time.Duration
+	}
+	const fast, slow = 8 * time.Millisecond, 20 * time.Millisecond
+	cases := []struct {
+		name  string
+		route string
+		mix   mix
+		want  bool
+	}{
+		{"equal", "order", mix{90, 0, 10, 0, fast, fast}, false},
+		{"errors of the new version", "look-up", mix{90, 0, 7, 3, fast, fast}, true},
+		{"errors on one route only", "order", mix{90, 0, 7, 3, fast, fast}, true},
+		{"dependency fails for both", "look-up", mix{45, 45, 5, 5, fast, fast}, false},
+		{"old version is worse", "look-up", mix{70, 20, 10, 0, fast, fast}, false},
+		{"new version is slow", "look-up", mix{90, 0, 10, 0, fast, slow}, true},
+		{"both versions are slow", "look-up", mix{90, 0, 10, 0, slow, slow}, false},
+		{"new version is faster", "look-up", mix{90, 0, 10, 0, slow, fast}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFeeder(movingStage(0.1))
+			for range 5 { // the old version's own distribution
+				for _, s := range f.sums {
+					addOutcomes(&s.Old, 90, 0, fast)
+					addOutcomes(&s.New, 10, 0, fast)
+				}
+				f.observe()
+			}
+			verdict := VerdictWait
+			for i := 0; i < 30 && verdict != VerdictTakeBack; i++ {
+				s := f.sums[c.route]
+				addOutcomes(&s.Old, c.mix.oldOK, c.mix.oldFailed, c.mix.oldLatency)
+				addOutcomes(&s.New, c.mix.newOK, c.mix.newFailed, c.mix.newLatency)
+				f.observe()
+				verdict = f.j.Decide(f.now, Targets{Old: 10, New: 10}).Verdict
+			}
+			assert.Equal(t, verdict == VerdictTakeBack, c.want, "e-value %v: %s", f.j.EValue(), f.j.explain())
+		})
+	}
+}
+
+// TestJudgeIgnoresLostAndReorderedSums guards against evidence from sums that
+// go back, as after the loss of a distributor, or that repeat.
+func TestJudgeIgnoresLostAndReorderedSums(t *testing.T) {
+	f := newFeeder(movingStage(0.1))
+	s := f.sums["look-up"]
+	addOutcomes(&s.Old, 900, 0, time.Millisecond)
+	addOutcomes(&s.New, 50, 50, time.Millisecond)
+	f.observe() // counted before this judge began
+	e := f.j.EValue()
+	f.observe() // repeated
+	held := *s
+	*s = Sum{Route: "look-up", Domain: "a", Idempotent: true}
+	f.observe() // lost
+	*s = held
+	f.observe() // back again
+	assert.Equal(t, f.j.EValue(), e)
+}
+
+// TestNoStepWithoutEvidence guards against a share raised on time alone, and
+// against a move that hides that it will be late.
+func TestNoStepWithoutEvidence(t *testing.T) {
+	f := newFeeder(movingStage(0.1))
+	for f.now.Before(testStart.Add(2 * time.Hour)) {
+		f.now = f.now.Add(30 * time.Second)
+		addOutcomes(&f.sums["look-up"].Old, 2, 0, time.Millisecond)
+		f.observe()
+		d := f.j.Decide(f.now, Targets{Old: 10, New: 10})
+		assert.Equal(t, d.Verdict, VerdictWait, d.Reason)
+		if f.now.After(testStart.Add(10 * time.Minute)) {
+			assert.Assert(t, d.Late, "not late at %v, expected end %v", f.now, d.ExpectedEnd)
+		}
+	}
+}
+
+// TestStepsStayNearProvedLoad guards against a step that brings the new targets
+// a load that they never worked at, or more than their slots bear.
+func TestStepsStayNearProvedLoad(t *testing.T) {
+	const rate = 100
+	stage := Stage{State: pb.MoveState_MOVE_WAITING, Since: testStart}
+	f := newFeeder(stage)
+	carry, order := 0.0, 0.0
+	proved := rate / 10.0 / 4 * exposedGrowth
+	steps := 0
+	for stage.Share < 1 && f.now.Before(testStart.Add(time.Hour)) {
+		carry += rate * 0.7 * stage.Share
+		order += rate * 0.3 * stage.NonIdempotent
+		n, m := uint64(carry), uint64(order)
+		carry, order = carry-float64(n), order-float64(m)
+		addOutcomes(&f.sums["look-up"].New, n, 0, time.Millisecond)
+		addOutcomes(&f.sums["look-up"].Old, rate*7/10-n, 0, time.Millisecond)
+		addOutcomes(&f.sums["order"].New, m, 0, time.Millisecond)
+		addOutcomes(&f.sums["order"].Old, rate*3/10-m, 0, time.Millisecond)
+		f.observe()
+		d := f.j.Decide(f.now, Targets{Old: 10, New: 10})
+		if d.Verdict != VerdictStep {
+			continue
+		}
+		steps++
+		targets := d.Next.MaxNewTargets
+		if targets == 0 {
+			targets = 10
+		}
+		load := d.Next.Share * rate / float64(targets)
+		assert.Assert(t, load <= proved*1.01, "step to %v loads %v, proved %v", d.Next.Share, load, proved)
+		assert.Assert(t, d.Next.NonIdempotent < d.Next.Share || d.Next.Share == 1, "non-idempotent routes must follow")
+		proved = max(proved, load*exposedGrowth)
+		stage = d.Next
+		f.j.SetStage(f.now, stage)
+	}
+	assert.Equal(t, stage.Share, 1.0)
+	assert.Assert(t, steps >= 4, "%d steps", steps)
+	assert.Assert(t, f.now.Before(testPlan().By))
+}
--- /dev/null
+++ b/pkg/move/signals.go
@@ -0,0 +1,101 @@
+package move
+
+// signal is one kind of event that the versions are compared by.
+type signal int
+
+const (
+	signalErrors signal = iota
+	signalMedian        // slower than the old version's median
+	signalTail          // slower than the old version's 95th percentile
+	signalCrashes
+	signalCount
+)
+
+var signalNames = [signalCount]string{"errors", "latency", "tail latency", "crashes"}
+
+// Weights of the signals; they add up to 1, so the sum of the wealths is one
+// test and the false alarm rate holds for all signals and routes together.
+// Errors get the largest part because they matter most.
+var signalWeights = [signalCount]float64{0.4, 0.2, 0.2, 0.2}
+
+// Quantiles of the old version's latency at which it is compared.
+const (
+	medianQuantile = 0.5
+	tailQuantile   = 0.95
+)
+
+// evidenceTest holds the wealths of all signals. Each signal is tested over
+// all routes together, which finds a general fault soonest, and for each route
+// alone, which finds a fault of one route.
+type evidenceTest struct {
+	pooled [signalCount]*wealth
+	routes [signalCount]map[string]*wealth
+}
+
+func newEvidenceTest(routes []string) *evidenceTest {
+	t := &evidenceTest{}
+	for s := range signalCount {
+		weight := signalWeights[s]
+		if s == signalCrashes || len(routes) < 2 {
+			t.pooled[s] = newWealth(weight)
+			continue
+		}
+		t.pooled[s] = newWealth(weight / 2)
+		t.routes[s] = map[string]*wealth{}
+		for _, route := range routes {
+			t.routes[s][route] = newWealth(weight / 2 / float64(len(routes)))
+		}
+	}
+	return t
+}
+
+// window collects the likelihood ratios of one observation.
+type window struct {
+	pooled [signalCount]logRatios
+	routes [signalCount]map[string]logRatios
+}
+
+func (w *window) add(s signal, route string, r logRatios) {
+	if !r.informative() {
+		return
+	}
+	w.pooled[s].add(r)
+	if w.routes[s] == nil {
+		w.routes[s] = map[string]logRatios{}
+	}
+	sum := w.routes[s][route]
+	sum.add(r)
+	w.routes[s][route] = sum
+}
+
+func (t *evidenceTest) update(w *window) {
+	for s := range signalCount {
+		t.pooled[s].update(w.pooled[s])
+		for route, r := range w.routes[s] {
+			if held, ok := t.routes[s][route]; ok {
+				held.update(r)
+			}
+		}
+	}
+}
+
+// value returns the e-value of the whole test, and the signal and route that
+// contribute most. The route is empty for all routes together.
+func (t *evidenceTest) value() (e float64, strongest signal, route string) {
+	best := -1.0
+	for s := range signalCount {
+		v := t.pooled[s].value()
+		e += v
+		if v > best {
+			best, strongest, route = v, s, ""
+		}
+		for name, w := range t.routes[s] {
+			v := w.value()
+			e += v
+			if v > best || (v == best && name < route) {
+				best, strongest, route = v, s, name
+			}
+		}
+	}
+	return e, strongest, route
+}
