config: decode, check, merge and compare operator files

Operations in the head carry the digest of their files and the entries they touched (both optional fields).

Conclusion: every problem of a set of files is reported at once. The version of a service can only follow one of its moves.

--- /dev/null
+++ b/pkg/config/configuration.go
@@ -0,0 +1,164 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Configuration is one whole version: all teams and all bundles. Accepting
+// daemons work on it; daemons that serve calls hold a Snapshot. It is
+// immutable.
+type Configuration struct {
+	Version uint64
+	Teams   []Team // by name
+	Bundles map[string]*Bundle
+}
+
+// EncodeTeams returns the canonical form of the teams, which their digest in
+// the manifest is taken of.
+func EncodeTeams(teams []Team) []byte {
+	data, err := json.Marshal(teams)
+	if err != nil {
+		panic("config: teams cannot be encoded: " + err.Error()) // only strings
+	}
+	return data
+}
+
+// DecodeTeams decodes teams and verifies them against their digest.
+func DecodeTeams(data []byte, digest string) ([]Team, error) {
+	if got := Digest(data); got != digest {
+		return nil, &DigestError{What: "teams", Want: digest, Got: got}
+	}
+	var teams []Team
+	if err := json.Unmarshal(data, &teams); err != nil {
+		return nil, &BundleError{Digest: digest, Cause: err}
+	}
+	return teams, nil
+}
+
+// DecodeManifest decodes a manifest and verifies it against its digest.
+func DecodeManifest(data []byte, digest string) (*Manifest, error) {
+	if got := Digest(data); got != digest {
+		return nil, &DigestError{What: "manifest", Want: digest, Got: got}
+	}
+	manifest := &Manifest{}
+	if err := json.Unmarshal(data, manifest); err != nil {
+		return nil, &BundleError{Digest: digest, Cause: err}
+	}
+	return manifest, nil
+}
+
+// Manifest returns the manifest and the content of every blob it names, by
+// digest.
+func (c *Configuration) Manifest() (*Manifest, map[string][]byte) {
+	manifest := &Manifest{Version: c.Version, Entries: map[string]Entry{}}
+	content := map[string][]byte{}
+	for name, bundle := range c.Bundles {
+		data := bundle.Encode()
+		digest := Digest(data)
+		manifest.Entries[name] = Entry{Digest: digest, Hosts: bundle.Hosts()}
+		content[digest] = data
+	}
+	if len(c.Teams) > 0 {
+		data := EncodeTeams(c.Teams)
+		manifest.Entries[TeamsEntry] = Entry{Digest: Digest(data)}
+		content[Digest(data)] = data
+	}
+	return manifest, content
+}
+
+// File returns the configuration as an operator file would state it.
+func (c *Configuration) File() File {
+	file := File{Teams: c.Teams}
+	for _, name := range slices.Sorted(maps.Keys(c.Bundles)) {
+		file.Services = append(file.Services, c.Bundles[name].Service)
+	}
+	return file
+}
+
+// Proposal is a checked change with the configuration that it leads to.
+type Proposal struct {
+	Change *Change
+	Next   *Configuration
+	Diff   Diff
+}
+
+// Options holds what checks need beside the files and the configuration.
+type Options struct {
+	Now time.Time
+	// MoveDone reports whether a move of the current configuration has put all
+	// traffic on its new version. A nil function means that this is not known;
+	// the version of a service may then follow any of its moves.
+	MoveDone func(service, move string, generation uint64) bool
+}
+
+// Propose decodes files, merges them into the current configuration and checks
+// the result as a whole. The error is a ProblemsError with every problem.
+func Propose(current *Configuration, sources []Source, options Options) (*Proposal, error) {
+	change, problems := Decode(sources)
+	next := current.merge(change)
+	c := &checker{change: change, current: current, next: next, problems: problems}
+	c.checkNames()
+	for _, service := range change.Services {
+		c.problems = append(c.problems, checkService(service)...)
+		old := current.Bundles[service.Value.Name]
+		c.problems = append(c.problems, checkVersionChange(service, old, options)...)
+		c.problems = append(c.problems, checkMoveTimes(service, old, options.Now)...)
+	}
+	c.checkReferences()
+	c.checkRemovals()
+	c.checkRouteOverlap()
+	c.checkSizes()
+	if len(c.problems) > 0 {
+		return nil, &ProblemsError{Problems: c.problems}
+	}
+	return &Proposal{Change: change, Next: next, Diff: compare(current, next, change)}, nil
+}
+
+// merge returns the configuration with the change: each named team and service
+// is replaced as a whole. Moves whose definition is new or changed get the new
+// version as their generation.
+func (c *Configuration) merge(change *Change) *Configuration {
+	next := &Configuration{Version: c.Version + 1, Bundles: maps.Clone(c.Bundles)}
+	if next.Bundles == nil {
+		next.Bundles = map[string]*Bundle{}
+	}
+	for _, name := range change.Removed {
+		delete(next.Bundles, name.Value)
+	}
+	for _, service := range change.Services {
+		bundle := &Bundle{Service: service.Value}
+		bundle.Generations = generations(c.Bundles[service.Value.Name], service.Value.Moves, next.Version)
+		if old, ok := c.Bundles[service.Value.Name]; ok && bytes.Equal(old.Encode(), bundle.Encode()) {
+			bundle = old
+		}
+		next.Bundles[service.Value.Name] = bundle
+	}
+	teams := map[string]Team{}
+	for _, team := range c.Teams {
+		teams[team.Name] = team
+	}
+	for _, team := range change.Teams {
+		teams[team.Value.Name] = team.Value
+	}
+	next.Teams = slices.SortedFunc(maps.Values(teams), func(a, b Team) int { return strings.Compare(a.Name, b.Name) })
+	return next
+}
+
+func generations(old *Bundle, moves []Move, version uint64) map[string]uint64 {
+	if len(moves) == 0 {
+		return nil
+	}
+	result := map[string]uint64{}
+	for _, move := range moves {
+		result[move.Name] = version
+		if before, ok := old.move(move.Name); ok && before.equal(move) {
+			result[move.Name] = old.Generations[move.Name]
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/pkg/config/diff.go
@@ -0,0 +1,228 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Diff is the difference between two configurations.
+type Diff struct {
+	BaseVersion uint64 `json:"baseVersion"`
+	// Teams and Services list what was added, changed or removed, by name.
+	Teams    []ItemDiff `json:"teams,omitempty"`
+	Services []ItemDiff `json:"services,omitempty"`
+	// AlreadyRemoved names services that the files remove but that do not exist.
+	AlreadyRemoved []string `json:"alreadyRemoved,omitempty"`
+}
+
+// DiffKind tells what happened to a team or service.
+type DiffKind string
+
+// Kinds of differences.
+const (
+	DiffAdded   DiffKind = "added"
+	DiffChanged DiffKind = "changed"
+	DiffRemoved DiffKind = "removed"
+)
+
+// ItemDiff is the difference of one team or service.
+type ItemDiff struct {
+	Name string   `json:"name"`
+	Kind DiffKind `json:"kind"`
+	// TeamBefore and TeamAfter own a service in the two configurations.
+	TeamBefore string        `json:"teamBefore,omitempty"`
+	TeamAfter  string        `json:"teamAfter,omitempty"`
+	Fields     []FieldChange `json:"fields,omitempty"`
+}
+
+// FieldChange is one changed field. Elements of lists are named by their name,
+// as in routes[place].deadline. A missing side is left out.
+type FieldChange struct {
+	Path   string          `json:"path"`
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+// Empty reports whether nothing changes.
+func (d *Diff) Empty() bool { return len(d.Teams) == 0 && len(d.Services) == 0 }
+
+// Touched returns the sorted manifest entries that the difference changes.
+func (d *Diff) Touched() []string {
+	var names []string
+	if len(d.Teams) > 0 {
+		names = append(names, TeamsEntry)
+	}
+	for _, service := range d.Services {
+		names = append(names, service.Name)
+	}
+	return names
+}
+
+// Text renders the difference for people.
+func (d *Diff) Text() string {
+	var b strings.Builder
+	for _, team := range d.Teams {
+		team.write(&b, "team")
+	}
+	for _, service := range d.Services {
+		service.write(&b, "service")
+	}
+	for _, name := range d.AlreadyRemoved {
+		fmt.Fprintf(&b, "  service %s does not exist, nothing to remove\n", name)
+	}
+	if d.Empty() {
+		b.WriteString("no changes\n")
+	}
+	return b.String()
+}
+
+func (i *ItemDiff) write(b *strings.Builder, what string) {
+	sign := map[DiffKind]string{DiffAdded: "+", DiffChanged: "~", DiffRemoved: "-"}[i.Kind]
+	fmt.Fprintf(b, "%s %s %s\n", sign, what, i.Name)
+	for _, field := range i.Fields {
+		switch {
+		case field.Before == nil:
+			fmt.Fprintf(b, "    + %s: %s\n", field.Path, field.After)
+		case field.After == nil:
+			fmt.Fprintf(b, "    - %s: %s\n", field.Path, field.Before)
+		default:
+			fmt.Fprintf(b, "    ~ %s: %s -> %s\n", field.Path, field.Before, field.After)
+		}
+	}
+}
+
+// Compare returns the difference from one configuration to another.
+func Compare(before, after *Configuration) Diff { return compare(before, after, &Change{}) }
+
+func compare(before, after *Configuration, change *Change) Diff {
+	d := Diff{BaseVersion: before.Version}
+	d.Teams = compareItems(teamDocs(before.Teams), teamDocs(after.Teams))
+	d.Services = compareItems(serviceDocs(before.Bundles), serviceDocs(after.Bundles))
+	for i := range d.Services {
+		item := &d.Services[i]
+		if bundle, ok := before.Bundles[item.Name]; ok {
+			item.TeamBefore = bundle.Service.Team
+		}
+		if bundle, ok := after.Bundles[item.Name]; ok {
+			item.TeamAfter = bundle.Service.Team
+		}
+	}
+	for _, name := range change.Removed {
+		if _, ok := before.Bundles[name.Value]; !ok {
+			d.AlreadyRemoved = append(d.AlreadyRemoved, name.Value)
+		}
+	}
+	return d
+}
+
+func teamDocs(teams []Team) map[string][]byte {
+	docs := map[string][]byte{}
+	for _, team := range teams {
+		docs[team.Name] = EncodeTeams([]Team{team})
+	}
+	return docs
+}
+
+func serviceDocs(bundles map[string]*Bundle) map[string][]byte {
+	docs := map[string][]byte{}
+	for name, bundle := range bundles {
+		docs[name] = (&Bundle{Service: bundle.Service}).Encode()
+	}
+	return docs
+}
+
+func compareItems(before, after map[string][]byte) []ItemDiff {
+	names := slices.Collect(maps.Keys(before))
+	names = slices.AppendSeq(names, maps.Keys(after))
+	slices.Sort(names)
+	var items []ItemDiff
+	for _, name := range slices.Compact(names) {
+		old, inOld := before[name]
+		current, inNew := after[name]
+		switch {
+		case !inOld:
+			items = append(items, ItemDiff{Name: name, Kind: DiffAdded, Fields: compareFields(nil, current)})
+		case !inNew:
+			items = append(items, ItemDiff{Name: name, Kind: DiffRemoved})
+		case !bytes.Equal(old, current):
+			items = append(items, ItemDiff{Name: name, Kind: DiffChanged, Fields: compareFields(old, current)})
+		}
+	}
+	return items
+}
+
+func compareFields(before, after []byte) []FieldChange {
+	old, current := map[string]json.RawMessage{}, map[string]json.RawMessage{}
+	flatten("", parse(before), old)
+	flatten("", parse(after), current)
+	paths := slices.Collect(maps.Keys(old))
+	paths = slices.AppendSeq(paths, maps.Keys(current))
+	slices.Sort(paths)
+	var fields []FieldChange
+	for _, path := range slices.Compact(paths) {
+		if !bytes.Equal(old[path], current[path]) {
+			fields = append(fields, FieldChange{Path: path, Before: old[path], After: current[path]})
+		}
+	}
+	return fields
+}
+
+// parse returns the item inside its canonical form: {"service": item} or [item].
+func parse(data []byte) any {
+	if data == nil {
+		return nil
+	}
+	var doc any
+	if err := json.Unmarshal(data, &doc); err != nil {
+		panic("config: canonical form cannot be decoded: " + err.Error()) // encoded by this package
+	}
+	if list, ok := doc.([]any); ok {
+		return list[0]
+	}
+	return doc.(map[string]any)["service"]
+}
+
+// flatten lists the leaves of a document by path. Lists of strings are leaves.
+func flatten(path string, value any, into map[string]json.RawMessage) {
+	switch value := value.(type) {
+	case nil:
+		return
+	case map[string]any:
+		for name, child := range value {
+			if name == "name" && (path == "" || strings.HasSuffix(path, "]")) {
+				continue // shown by the item or its path
+			}
+			flatten(strings.TrimPrefix(path+"."+name, "."), child, into)
+		}
+		return
+	case []any:
+		if named, ok := namedElements(value); ok {
+			for name, child := range named {
+				flatten(path+"["+name+"]", child, into)
+			}
+			return
+		}
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("config: value cannot be encoded: " + err.Error()) // decoded from JSON before
+	}
+	into[path] = data
+}
+
+func namedElements(list []any) (map[string]any, bool) {
+	named := map[string]any{}
+	for _, item := range list {
+		object, _ := item.(map[string]any)
+		name, ok := object["name"].(string)
+		if !ok {
+			return nil, false
+		}
+		named[name] = item
+	}
+	return named, true
+}
--- a/pkg/config/manifest.go
+++ b/pkg/config/manifest.go
@@ -42,6 +42,27 @@
 	ID      string `json:"id"`
 	Author  string `json:"author"`
 	Version uint64 `json:"version"`
+	// Request is the digest of the files, which tells a repeat from another
+	// request that uses the same ID by mistake.
+	Request string `json:"request,omitempty"`
+	// Touched names the manifest entries that the version changed. The single
+	// element TouchedAll stands for more names than are kept.
+	Touched []string `json:"touched,omitempty"`
+}
+
+// TouchedAll stands for every manifest entry.
+const TouchedAll = "*"
+
+// maxTouched bounds the names kept for one operation, so that 64 operations
+// stay far below the value limit of the store.
+const maxTouched = 50
+
+// SetTouched records the changed manifest entries.
+func (o *Operation) SetTouched(names []string) {
+	if len(names) > maxTouched {
+		names = []string{TouchedAll}
+	}
+	o.Touched = names
 }
 
 // Find returns the operation with the given ID.
