--- /dev/null
+++ b/pkg/admin/settings.go
@@ -0,0 +1,120 @@
+package admin
+
+import (
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+const (
+	// defaultMaxBodyBytes is twice the largest operator file.
+	defaultMaxBodyBytes = 2 << 20
+	// Default rate of one token. Changes come at 0.12/s from all operators
+	// together, and a waiting nutmegctl needs one request.
+	defaultRequestsPerSecond = 20
+	defaultBurst             = 40
+)
+
+// Settings of the administration API.
+type Settings struct {
+	Address string  `json:"address"`
+	Tokens  []Token `json:"tokens"`
+	// MaxBodyBytes bounds the body of a request; 0 means 2 MB.
+	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
+	// RequestsPerSecond and Burst bound the requests of one token; 0 means 20
+	// and 40. All requests without a valid token share one such bound.
+	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
+	Burst             int     `json:"burst,omitempty"`
+	// TLS is optional; without it the API is plain HTTP.
+	TLS *TLSSettings `json:"tls,omitempty"`
+}
+
+// Token lets its bearer use the API. Only the digest of the token is kept.
+type Token struct {
+	Name string `json:"name"`
+	// SHA256 is the digest of the token in hexadecimal.
+	SHA256 string `json:"sha256"`
+	// Teams are the only teams whose services the bearer may change; none means
+	// all.
+	Teams []string `json:"teams,omitempty"`
+	// ReadOnly refuses apply.
+	ReadOnly bool `json:"readOnly,omitempty"`
+}
+
+// TLSSettings names files in PEM form.
+type TLSSettings struct {
+	CertificateFile string `json:"certificateFile"`
+	KeyFile         string `json:"keyFile"`
+}
+
+// SettingsError reports a setting that is not accepted.
+type SettingsError struct{ Field, Message string }
+
+func (e *SettingsError) Error() string {
+	return fmt.Sprintf("admin: settings: %s: %s", e.Field, e.Message)
+}
+
+// TLSError reports that the certificate cannot be used.
+type TLSError struct{ Cause error }
+
+func (e *TLSError) Error() string { return "admin: certificate: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *TLSError) Unwrap() error { return e.Cause }
+
+var tokenName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@-]{0,63}$`)
+
+// Validate checks the settings and returns the first error.
+func (s *Settings) Validate() error {
+	if s.MaxBodyBytes < 0 || s.RequestsPerSecond < 0 || s.Burst < 0 {
+		return &SettingsError{Field: "maxBodyBytes, requestsPerSecond, burst", Message: "must not be negative"}
+	}
+	names, digests := map[string]bool{}, map[string]bool{}
+	for i, token := range s.Tokens {
+		field := fmt.Sprintf("tokens[%d]", i)
+		digest, err := hex.DecodeString(token.SHA256)
+		switch {
+		case !tokenName.MatchString(token.Name):
+			return &SettingsError{Field: field + ".name", Message: "must be 1 to 64 letters, digits, '.', '_', '@' or '-'"}
+		case names[token.Name]:
+			return &SettingsError{Field: field + ".name", Message: "is repeated"}
+		case err != nil || len(digest) != digestBytes:
+			return &SettingsError{Field: field + ".sha256", Message: "must be 64 hexadecimal digits"}
+		case digests[strings.ToLower(token.SHA256)]:
+			return &SettingsError{Field: field + ".sha256", Message: "is repeated"}
+		}
+		names[token.Name], digests[strings.ToLower(token.SHA256)] = true, true
+	}
+	if s.TLS != nil && (s.TLS.CertificateFile == "" || s.TLS.KeyFile == "") {
+		return &SettingsError{Field: "tls", Message: "needs certificateFile and keyFile"}
+	}
+	return nil
+}
+
+func (s *Settings) withDefaults() Settings {
+	result := *s
+	if result.MaxBodyBytes == 0 {
+		result.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if result.RequestsPerSecond == 0 {
+		result.RequestsPerSecond = defaultRequestsPerSecond
+	}
+	if result.Burst == 0 {
+		result.Burst = defaultBurst
+	}
+	return result
+}
+
+// tlsConfig loads the certificate; it returns nil without TLS settings.
+func (s *Settings) tlsConfig() (*tls.Config, error) {
+	if s.TLS == nil {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.TLS.CertificateFile, s.TLS.KeyFile)
+	if err != nil {
+		return nil, &TLSError{Cause: err}
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate}}, nil
+}
