Shorten the jitter of contenders to half a second

A takeover is to take about 10 s: 3 s of silence, one term of 6 s, and the jitter. With a jitter of up to a renewal (2 s) the sum could exceed it.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -39,6 +39,8 @@
 	releaseTimeout = 500 * time.Millisecond
 	// callTimeout bounds a call of a contender; a store may take 5 s to answer.
 	callTimeout = 10 * time.Second
+	// contendJitter spreads contenders that wait for the end of one term.
+	contendJitter = 500 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 3 * time.Second
@@ -202,7 +204,7 @@
 		free := record.Holder == "" || record.Holder == l.o.Holder || now.Sub(seenAt) >= term
 		if !free {
 			backoff = minBackoff
-			l.sleep(ctx, seenAt.Add(term).Sub(now)+l.jitter(l.o.Renew))
+			l.sleep(ctx, seenAt.Add(term).Sub(now)+l.jitter(contendJitter))
 			continue
 		}
 		h, err := l.take(ctx, record, revision)
