Add the failure domain: records, member feed and distributors

Daemons need configuration versions and records from two distributors of their domain without reading the store themselves, whichever parts fail.

Table keeps the newest record of each fact and publishes immutable views. Member joins both distributors, chooses a primary, learns the floor, applies deltas that never go back, and holds the membership lease. Distributor watches the head, feeds its member daemons, exchanges versions and records with other domains, judges silent daemons together with its sibling, and sums evidence and usage. Server answers the mesh calls and runs the role under a lease, or without one as acting distributor while the store is down.

--- /dev/null
+++ b/pkg/domain/entries.go
@@ -0,0 +1,85 @@
+package domain
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/config"
+	"nutmegstand.example/nutmegstand/pkg/lease"
+	"nutmegstand.example/nutmegstand/pkg/store"
+)
+
+// HeadError reports a head that cannot be decoded.
+type HeadError struct{ Cause error }
+
+func (e *HeadError) Error() string { return fmt.Sprintf("domain: head: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *HeadError) Unwrap() error { return e.Cause }
+
+// entries is what a list of config.EntryPrefix shows.
+type entries struct {
+	head   config.Head
+	leases []leaseEntry // of present holders
+}
+
+type leaseEntry struct {
+	domain string
+	record lease.Record
+}
+
+func decodeEntries(objects []store.Object) (entries, error) {
+	var found entries
+	for _, object := range objects {
+		if object.Key == config.HeadKey {
+			head, err := decodeHead(object.Value)
+			if err != nil {
+				return found, err
+			}
+			found.head = head
+			continue
+		}
+		domain, ok := leaseDomain(object.Key)
+		if !ok {
+			continue
+		}
+		record, err := lease.Decode(object.Value)
+		if err != nil {
+			return found, err
+		}
+		if record.Holder != "" {
+			found.leases = append(found.leases, leaseEntry{domain: domain, record: record})
+		}
+	}
+	return found, nil
+}
+
+func decodeHead(value []byte) (config.Head, error) {
+	var head config.Head
+	if err := json.Unmarshal(value, &head); err != nil {
+		return head, &HeadError{Cause: err}
+	}
+	return head, nil
+}
+
+// leaseDomain returns the domain of a distributor lease key.
+func leaseDomain(key string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, "entry/distributor/")
+	if !ok {
+		return "", false
+	}
+	domain, _, ok := strings.Cut(rest, "/")
+	return domain, ok
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
