Wire the daemon: one process with caller side, target side and its domain roles

Cause: the packages had no process around them, so no call could be served.

Change: pkg/daemon builds and runs the parts of one nutmegstandd, follows bundles, grants, suspects and shares of limits, runs rollout controllers on distributors, answers the administration API, and drains on SIGTERM.

--- a/pkg/admin/provider.go
+++ b/pkg/admin/provider.go
@@ -6,6 +6,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/accept"
 	"nutmegstand.example/nutmegstand/pkg/config"
+	"nutmegstand.example/nutmegstand/pkg/move"
 )
 
 // Configurations reads and changes the configuration; *accept.Acceptor is one.
@@ -95,6 +96,8 @@
 	Recorded bool `json:"recorded"`
 	// AgeMS is the time since the daemon last heard of the move.
 	AgeMS int64 `json:"ageMs"`
+	// Detail has the evidence by route, if a record of the move is stored.
+	Detail *move.Report `json:"detail,omitempty"`
 }
 
 // ExplainRequest describes a call.
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,207 @@
+// Package daemon wires the parts of one nutmegstandd process.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/accept"
+	"nutmegstand.example/nutmegstand/pkg/admin"
+	"nutmegstand.example/nutmegstand/pkg/domain"
+	"nutmegstand.example/nutmegstand/pkg/link"
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/route"
+	"nutmegstand.example/nutmegstand/pkg/settings"
+	"nutmegstand.example/nutmegstand/pkg/store/httpstore"
+	"nutmegstand.example/nutmegstand/pkg/target"
+	"nutmegstand.example/nutmegstand/pkg/telemetry"
+)
+
+// maxTasks bounds the tasks of a daemon. A distributor at the target size has
+// about 270 member streams and 22 links with two tasks each; the rest is left
+// for calls.
+const maxTasks = 4096
+
+// Daemon is one nutmegstandd process.
+type Daemon struct {
+	settings  *settings.Settings
+	logger    *zap.Logger
+	decisions *zap.Logger
+	tasks     *ants.Pool
+	metrics   *telemetry.Metrics
+	listeners *listeners
+
+	store    *httpstore.Client
+	peers    *link.Peers
+	member   *domain.Member
+	roles    *domain.Server
+	versions *versions
+
+	backend  *target.HTTPBackend
+	gate     *target.Gate
+	local    *target.Local
+	router   *route.Router
+	calls    *route.Entry
+	inner    *route.Entry
+	mesh     *link.Server
+	announce *target.AnnounceServer
+	acceptor *accept.Acceptor
+	admin    *admin.Server
+
+	running   sync.WaitGroup
+	storeSeen atomic.Int64 // Unix ms of the last answer to an administrator's question
+}
+
+// StartError reports a part of the daemon that cannot start.
+type StartError struct {
+	Part  string
+	Cause error
+}
+
+func (e *StartError) Error() string { return "daemon: " + e.Part + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// New listens on the addresses of the settings and builds the parts. Nothing
+// runs before Run.
+func New(s *settings.Settings, logger *zap.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, logger: logger, decisions: logger}
+	if !s.Log.Decisions {
+		d.decisions = zap.NewNop()
+	}
+	steps := []struct {
+		part  string
+		build func() error
+	}{
+		{"listeners", d.listen},
+		{"base", d.buildBase},
+		{"target side", d.buildTargetSide},
+		{"caller side", d.buildCallerSide},
+		{"administration", d.buildAdmin},
+	}
+	for _, step := range steps {
+		if err := step.build(); err != nil {
+			d.listeners.close()
+			return nil, &StartError{Part: step.part, Cause: err}
+		}
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	d.listeners, err = openListeners(d.settings.Listen)
+	return err
+}
+
+func (d *Daemon) buildBase() error {
+	var err error
+	if d.tasks, err = ants.NewPool(maxTasks, ants.WithNonblocking(true)); err != nil {
+		return err
+	}
+	if d.metrics, err = telemetry.NewMetrics(); err != nil {
+		return err
+	}
+	if d.store, err = httpstore.NewClient(d.settings.Store.Address, time.Duration(d.settings.Store.Timeout)); err != nil {
+		return err
+	}
+	d.peers = link.NewPeers(link.DialTCP)
+	d.member = domain.NewMember(domain.Options{
+		Name: d.settings.Name, Address: d.settings.Advertise, Domain: d.settings.Domain,
+		Store: d.store, Dial: link.DialTCP, Tasks: d.tasks, Logger: d.logger,
+	})
+	d.roles = domain.NewServer(d.member)
+	d.roles.Role = d.runControllers
+	d.versions = newVersions(d.settings.Name, d.settings.Domain, d.member)
+	return nil
+}
+
+// meshService answers other daemons: calls go to the gate, the rest to the
+// failure domain.
+type meshService struct {
+	*domain.Server
+	gate *target.Gate
+}
+
+// Call implements pb.DRPCMeshServer.
+func (m meshService) Call(stream pb.DRPCMesh_CallStream) error { return m.gate.Serve(stream) }
+
+// Run serves until ctx ends, then drains within the drain timeout.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	eventStarted.Log(d.logger, zap.String("name", d.settings.Name), zap.String("domain", d.settings.Domain),
+		zap.String("address", d.settings.Advertise))
+	failed := make(chan error, 1)
+	d.start(background, failed)
+	var err error
+	if err = d.serveWhenReady(ctx, failed); err == nil {
+		select {
+		case <-ctx.Done():
+		case err = <-failed:
+		}
+	}
+	d.drain()
+	stop()
+	d.running.Wait()
+	_ = d.peers.Close()
+	d.backend.Close()
+	d.tasks.Release()
+	eventStopped.Log(d.logger)
+	return err
+}
+
+// start begins what runs from the first moment: the failure domain, the
+// target's announcements and the administration API.
+func (d *Daemon) start(ctx context.Context, failed chan<- error) {
+	d.run(failed, "member", func() error { return d.member.Run(ctx) })
+	d.run(failed, "roles", func() error { return d.roles.Run(ctx) })
+	d.run(failed, "daemons", func() error { return d.mesh.Serve(ctx, d.listeners.daemons) })
+	d.run(failed, "follow", func() error { d.follow(ctx); return nil })
+	d.run(failed, "router", func() error { d.router.Run(ctx); return nil })
+	d.run(failed, "announcements", d.announce.Run)
+	d.run(failed, "administration", func() error { return d.admin.Serve(ctx, d.listeners.admin) })
+	d.run(failed, "metrics", func() error { return serveMetrics(ctx, d.listeners.metrics, d.metrics) })
+}
+
+// serveWhenReady opens the listeners for calls once the floor is known, so
+// that a restarted daemon does not serve an older version than before.
+func (d *Daemon) serveWhenReady(ctx context.Context, failed chan error) error {
+	if err := d.member.WaitReady(ctx); err != nil {
+		return nil // stopped before it was ready
+	}
+	eventReady.Log(d.logger, zap.Uint64("version", d.member.Snapshot().Version()))
+	d.run(failed, "calls", d.calls.Serve)
+	d.run(failed, "inner calls", d.inner.Serve)
+	return nil
+}
+
+// run starts a task of the daemon. An error that is not due to the end of the
+// daemon stops it.
+func (d *Daemon) run(failed chan<- error, part string, task func() error) {
+	d.running.Add(1)
+	work := func() {
+		defer d.running.Done()
+		err := task()
+		if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		eventPartFailed.Log(d.logger, zap.String("part", part), zap.Error(err))
+		select {
+		case failed <- &StartError{Part: part, Cause: err}:
+		default:
+		}
+	}
+	if err := d.tasks.Submit(work); err != nil {
+		d.running.Done()
+		failed <- &StartError{Part: part, Cause: err}
+	}
+}
--- a/pkg/domain/distributor.go
+++ b/pkg/domain/distributor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"nutmegstand.example/nutmegstand/pkg/config"
 	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 )
@@ -54,7 +56,7 @@
 func newDistributor(o Options, m *Member) *Distributor {
 	d := &Distributor{
 		o: o, random: newRandom(o.Seed, "distributor "+o.Name), member: m, peers: link.NewPeers(o.Dial),
-		table: NewTable(), catalog: newCatalog(), sums: newSums(), joins: rate.NewLimiter(joinsPerSecond, joinBurst),
+		table: NewTable(), catalog: newCatalog(), sums: newSums(o), joins: rate.NewLimiter(joinsPerSecond, joinBurst),
 		started: time.Now(), poke: make(chan struct{}, 1), sessions: map[string]*session{},
 		members: map[string]*memberState{}, links: map[string]*exchange{}, others: map[string]*other{},
 		domains: map[string]*otherDomain{},
@@ -112,6 +114,24 @@
 // Version returns the configuration version that the distributor holds.
 func (d *Distributor) Version() uint64 { return d.catalog.version() }
 
+// Bundles returns the bundles of every service in order of their names.
+func (d *Distributor) Bundles() []*config.Bundle {
+	manifest := d.catalog.current()
+	if manifest == nil {
+		return nil
+	}
+	var bundles []*config.Bundle
+	for _, service := range slices.Sorted(maps.Keys(manifest.Entries)) {
+		if service == config.TeamsEntry {
+			continue
+		}
+		if bundle := d.catalog.bundle(service); bundle != nil {
+			bundles = append(bundles, bundle)
+		}
+	}
+	return bundles
+}
+
 // Table returns the records of every service.
 func (d *Distributor) Table() *Table { return d.table }
 
--- a/pkg/domain/sums.go
+++ b/pkg/domain/sums.go
@@ -9,11 +9,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"nutmegstand.example/nutmegstand/pkg/move"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 )
 
 // sums adds up the evidence and the usage that the member daemons report.
 type sums struct {
+	moves    *move.DomainSum
 	mu       sync.Mutex
 	evidence map[string]*evidenceSum // by service and sum key
 	usage    map[usageKey]map[string]*usageReport
@@ -46,8 +48,9 @@
 	at   time.Time
 }
 
-func newSums() *sums {
+func newSums(o Options) *sums {
 	return &sums{
+		moves:    move.NewDomainSum(o.Domain, o.Name, uint64(time.Now().UnixMilli())),
 		evidence: map[string]*evidenceSum{}, usage: map[usageKey]map[string]*usageReport{},
 		dirty: map[string]bool{},
 	}
@@ -56,6 +59,7 @@
 // take removes evidence and usage from the records of a member daemon, and
 // returns the others.
 func (s *sums) take(owner string, records []*pb.Record) []*pb.Record {
+	s.moves.Apply(records...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rest []*pb.Record
@@ -131,6 +135,7 @@
 // publishSums spreads the changed sums of evidence to the other distributors,
 // and gives each daemon its share of the limits on usage.
 func (d *Distributor) publishSums(now time.Time) {
+	d.spread(d.sums.moves.Records(), nil)
 	d.spread(d.evidenceRecords(), nil)
 	d.spread(d.usageRecords(now), nil)
 	d.shareUsage(now)
--- a/pkg/move/report.go
+++ b/pkg/move/report.go
@@ -32,6 +32,9 @@
 	pb.MoveState_MOVE_LATE:       StateLate,
 }
 
+// NameOf returns the name of a state.
+func NameOf(state pb.MoveState) StateName { return stateNames[state] }
+
 // Report tells operators how a move stands.
 type Report struct {
 	Identity
