Wait until a connection is back in its pool, and check histories for cut padding

The new reuse test found 2 dials in 200 sequential calls: the pool takes a connection back after Close returned.

Change: the sender waits for the pool before it returns.

--- a/pkg/route/balancer_test.go
+++ b/pkg/route/balancer_test.go
@@ -168,14 +168,26 @@
 		}
 		return verdictGood
 	}
+	// 20 calls are under way at any time, and the bad endpoint fails at once, so
+	// that it always looks the least busy.
+	var underWay []*pick
 	count := func(from, to time.Duration) int {
 		n := 0
 		for at := from; at < to; at += 10 * time.Millisecond {
-			e, err := pickAndEnd(b, service, list, epoch.Add(at), judge)
+			now := epoch.Add(at)
+			p, err := b.choose(service, list, Choice{Version: "v1"}, nil, now)
 			assert.NilError(t, err)
-			if e == list[0] {
+			if p.target.endpoint == list[0] {
 				n++
 			}
+			if judge(p.target.endpoint) == verdictBad {
+				p.done(verdictBad, time.Millisecond, nil, now, 0)
+				continue
+			}
+			if underWay = append(underWay, p); len(underWay) > 20 {
+				underWay[0].done(verdictGood, 200*time.Millisecond, nil, now, 0)
+				underWay = underWay[1:]
+			}
 		}
 		return n
 	}
--- a/pkg/route/history_test.go
+++ b/pkg/route/history_test.go
@@ -91,7 +91,7 @@
 	c.totals[head.GetPath()] += amount
 	total := c.totals[head.GetPath()]
 	c.mu.Unlock()
-	result := routetest.Answer(200, append(fmt.Appendf(nil, "%d %d ", amount, total), bytes.Repeat([]byte{'.'}, size)...))
+	result := routetest.Answer(200, append(fmt.Appendf(nil, "%d %d %d ", amount, total, size), bytes.Repeat([]byte{'.'}, size)...))
 	switch fault {
 	case 3:
 		result.Cut = true
@@ -170,11 +170,14 @@
 	_, outcome := route.Classify(err)
 	out := additionResult{outcome: outcome}
 	if err == nil {
-		var amount int
-		n, _ := fmt.Sscan(string(answer.Body), &amount, &out.total)
-		if n != 2 || amount != in.amount {
+		var amount, size int
+		n, _ := fmt.Sscan(string(answer.Body), &amount, &out.total, &size)
+		if n != 3 || amount != in.amount {
 			t.Errorf("addition of %d got the answer to %d", in.amount, amount)
 		}
+		if padding := bytes.Count(answer.Body, []byte{'.'}); padding != size {
+			t.Errorf("answer has %d of %d bytes of padding", padding, size)
+		}
 	}
 	return out
 }
--- a/pkg/route/router_test.go
+++ b/pkg/route/router_test.go
@@ -163,9 +163,29 @@
 		_, outcome := route.Classify(err)
 		assert.Equal(t, outcome, "not-run")
 		assert.Equal(t, n.Load(), int32(1))
+		assert.Equal(t, len(f.Versions.Attempts()), 1, "what was not started is no evidence")
 	})
 }
 
+// TestConnectionIsReused guards against a new connection for each call, and
+// against a connection that a refusal sent before the whole body leaves unusable.
+func TestConnectionIsReused(t *testing.T) {
+	f := newFixture(t, nil, func(_ context.Context, head *pb.CallHead, body []byte) routetest.Result {
+		if head.GetMethod() == "POST" {
+			return routetest.Refuse(pb.Refusal_REFUSAL_SUSPECT)
+		}
+		return routetest.Answer(200, make([]byte, 300<<10))
+	})
+	for range 100 {
+		_, err := f.router.Route(t.Context(), get())
+		assert.NilError(t, err)
+		_, err = f.router.Route(t.Context(), post(""))
+		_, outcome := route.Classify(err)
+		assert.Equal(t, outcome, "not-run")
+	}
+	assert.Equal(t, f.network.Dials("stock-v1-a-0"), 1)
+}
+
 // TestCancelReachesTarget guards against a target that works on for a caller
 // that has gone.
 func TestCancelReachesTarget(t *testing.T) {
--- a/pkg/route/sender.go
+++ b/pkg/route/sender.go
@@ -45,9 +45,7 @@
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	// Close ends a stream that still runs, which cancels the target side's work,
-	// and frees the connection for the next stream.
-	defer func() { _ = stream.Close() }()
+	defer release(ctx, stream)
 	if err := sendFrames(stream, head, body); err != nil && !errors.Is(err, io.EOF) {
 		return nil, &CutError{Address: address, Cause: err}
 	}
@@ -61,6 +59,17 @@
 	return reply, nil
 }
 
+// release ends a stream that still runs, which cancels the target side's work,
+// and waits until its connection is back in the pool. Without the wait the next
+// call would open another connection.
+func release(ctx context.Context, stream pb.DRPCMesh_CallClient) {
+	_ = stream.Close()
+	select {
+	case <-stream.Context().Done():
+	case <-ctx.Done():
+	}
+}
+
 func sendFrames(stream pb.DRPCMesh_CallClient, head *pb.CallHead, body []byte) error {
 	for {
 		part := body[:min(len(body), maxFrameBodyBytes)]
