admin: wait for requests under way before Serve returns

Cause: Serve returned as soon as its listener was closed, so a daemon could end while a request was still being answered.

Change: Serve returns when the graceful shutdown has ended, which has 5 s.

Measured: a request that ends 300 ms or more after the stop was not awaited before; TestGracefulStop now gets its whole answer.

Conclusion: a planned stop cuts no administration request that ends in 5 s.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -24,8 +24,9 @@
 	requestTimeout = 180 * time.Second
 	readTimeout    = 30 * time.Second
 	idleTimeout    = 60 * time.Second
-	exitWait       = 5 * time.Second
-	jsonType       = "application/json; charset=utf-8"
+	// exitWait also bounds the wait for clients that keep an idle connection.
+	exitWait = 5 * time.Second
+	jsonType = "application/json; charset=utf-8"
 )
 
 // Options configures a Server. Configurations and Logger are required; requests
@@ -57,13 +58,13 @@
 // ServeError reports that the API cannot be served.
 type ServeError struct{ Cause error }
 
-func (e *ServeError) Error() string { return "admin: serve: " + e.Cause.Error() }
+func (e *ServeError) Error() string { return fmt.Sprintf("admin: serve: %v", e.Cause) }
 
 // Unwrap returns the cause.
 func (e *ServeError) Unwrap() error { return e.Cause }
 
-// Serve answers requests on the listener until ctx ends; requests under way may
-// then finish.
+// Serve answers requests on the listener until ctx ends. Requests under way then
+// have exitWait to finish before it returns.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	tlsConfig, err := s.options.Settings.tlsConfig()
 	if err != nil {
@@ -74,15 +75,18 @@
 		options = append(options, server.WithTLS(tlsConfig))
 	}
 	h := s.engine(options...)
+	finished := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(finished)
 		if err := h.Shutdown(context.Background()); err != nil {
 			_ = listener.Close() // not running yet
 		}
 	})
-	defer stop()
-	if err := h.Run(); err != nil && ctx.Err() == nil {
+	err = h.Run()
+	if stop() { // ctx has not ended
 		return &ServeError{Cause: err}
 	}
+	<-finished
 	return nil
 }
 
--- a/pkg/admin/server_test.go
+++ b/pkg/admin/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,9 +55,11 @@
 }
 
 type fixture struct {
-	url   string
-	store *standin.Store
-	fleet *fleet
+	url    string
+	store  *standin.Store
+	fleet  *fleet
+	client *http.Client
+	stop   func() // returns when Serve has
 }
 
 func start(t testing.TB, edit func(*Options)) *fixture {
@@ -81,11 +84,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx, listener) }()
-	t.Cleanup(func() {
+	client := &http.Client{Transport: &http.Transport{}}
+	stop := sync.OnceFunc(func() {
+		client.CloseIdleConnections()
 		cancel()
 		assert.Check(t, <-done)
 	})
-	return &fixture{url: "http://" + listener.Addr().String(), store: backing, fleet: f}
+	t.Cleanup(stop)
+	return &fixture{url: "http://" + listener.Addr().String(), store: backing, fleet: f, client: client, stop: stop}
 }
 
 // send makes a request and decodes its answer into one of the two.
@@ -96,7 +102,7 @@
 	if token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := f.client.Do(request)
 	assert.NilError(t, err)
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
@@ -205,6 +211,22 @@
 	assert.DeepEqual(t, result.Wait.Behind[0].BehindNames, []string{"vm7"})
 }
 
+// TestGracefulStop guards against a planned stop that cuts a request.
+func TestGracefulStop(t *testing.T) {
+	f := start(t, nil)
+	f.fleet.lag.Store(4)
+	stopped := make(chan struct{})
+	time.AfterFunc(300*time.Millisecond, func() {
+		f.stop()
+		close(stopped)
+	})
+	var result ApplyResult
+	status, failure := f.send(t, "POST", PathApply, "secret-all", applyBody("op1", 5*time.Second, service("a", "sales", 1)), &result)
+	assert.Equal(t, status, 200, "%v", failure)
+	assert.Assert(t, result.Wait.Complete)
+	<-stopped
+}
+
 // TestStoreFailures guards against a store failure that is reported as another
 // outcome than the one it has.
 func TestStoreFailures(t *testing.T) {
