ctl: add nutmegctl

Cause: operators had no tool for the administration API.

Change: apply, check, diff, get, status, moves and explain, each with -o json, -server (several, tried in order), -token-file and optional TLS. Exit codes: 0 done, 1 refused or failed, 2 bad usage.

Conclusion: an apply can be repeated safely from the command line.

--- /dev/null
+++ b/pkg/ctl/commands.go
@@ -0,0 +1,154 @@
+package ctl
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+
+	"nutmegstand.example/nutmegstand/pkg/admin"
+	"nutmegstand.example/nutmegstand/pkg/config"
+)
+
+func defineApply(flags *flag.FlagSet) func(*session, []string) error {
+	operation := flags.String("operation", "", "operation `number`; give the number of an earlier apply to repeat it safely")
+	base := flags.Uint64("base-version", 0, "`version` that the files build on; refused if a later one changed the same services")
+	wait := flags.Duration("wait", 0, "wait so long for the version to be in force everywhere, at most 60s")
+	return func(s *session, args []string) error {
+		if *wait < 0 || *wait > admin.MaxWait {
+			return &UsageError{Message: fmt.Sprintf("-wait must be from 0 to %v", admin.MaxWait)}
+		}
+		files, err := readFiles(args)
+		if err != nil {
+			return err
+		}
+		request := admin.FilesRequest{Operation: *operation, BaseVersion: *base, Files: files, WaitMS: wait.Milliseconds()}
+		if request.Operation == "" {
+			id, err := uuid.NewV7()
+			if err != nil {
+				return err
+			}
+			request.Operation = id.String()
+		}
+		return s.apply(request)
+	}
+}
+
+func (s *session) apply(request admin.FilesRequest) error {
+	s.operation = request.Operation
+	if !s.json {
+		// Printed before the request, so that it is known if the answer is lost.
+		fmt.Fprintln(s.stdout, "operation", request.Operation)
+	}
+	var result admin.ApplyResult
+	if err := s.client.post(s.ctx, admin.PathApply, request, &result); err != nil {
+		return err
+	}
+	if err := s.print(result, func(w io.Writer) { writeApply(w, result) }); err != nil {
+		return err
+	}
+	if result.Wait != nil && !result.Wait.Complete {
+		return &IncompleteError{Version: result.Version}
+	}
+	return nil
+}
+
+// filesCommand is a command that sends files and changes nothing.
+func filesCommand[T any](path string, write func(io.Writer, T)) func(*flag.FlagSet) func(*session, []string) error {
+	return func(flags *flag.FlagSet) func(*session, []string) error {
+		base := flags.Uint64("base-version", 0, "`version` that the files build on")
+		return func(s *session, args []string) error {
+			files, err := readFiles(args)
+			if err != nil {
+				return err
+			}
+			var result T
+			if err := s.client.post(s.ctx, path, admin.FilesRequest{BaseVersion: *base, Files: files}, &result); err != nil {
+				return err
+			}
+			return s.print(result, func(w io.Writer) { write(w, result) })
+		}
+	}
+}
+
+var defineCheck = filesCommand(admin.PathCheck, func(w io.Writer, result admin.CheckResult) {
+	if result.Changes {
+		fmt.Fprintf(w, "accepted on version %d, an apply would change it\n", result.BaseVersion)
+		return
+	}
+	fmt.Fprintf(w, "accepted on version %d, an apply would change nothing\n", result.BaseVersion)
+})
+
+var defineDiff = filesCommand(admin.PathDiff, func(w io.Writer, diff config.Diff) {
+	fmt.Fprint(w, diff.Text())
+})
+
+func defineGet(flags *flag.FlagSet) func(*session, []string) error {
+	service := flags.String("service", "", "print this `service` only")
+	return func(s *session, args []string) error {
+		if err := noArguments(args); err != nil {
+			return err
+		}
+		var result admin.ConfigResult
+		if err := s.client.get(s.ctx, admin.PathConfig, map[string]string{"service": *service}, &result); err != nil {
+			return err
+		}
+		if s.json {
+			return s.printJSON(result)
+		}
+		return s.printJSON(result.Configuration) // an operator file
+	}
+}
+
+func defineStatus(*flag.FlagSet) func(*session, []string) error {
+	return func(s *session, args []string) error {
+		if err := noArguments(args); err != nil {
+			return err
+		}
+		var status admin.Status
+		if err := s.client.get(s.ctx, admin.PathStatus, nil, &status); err != nil {
+			return err
+		}
+		return s.print(status, func(w io.Writer) { writeStatus(w, status, time.Now()) })
+	}
+}
+
+func defineMoves(flags *flag.FlagSet) func(*session, []string) error {
+	service := flags.String("service", "", "show the moves of this `service` only")
+	return func(s *session, args []string) error {
+		if err := noArguments(args); err != nil {
+			return err
+		}
+		var moves []admin.MoveStatus
+		if err := s.client.get(s.ctx, admin.PathMoves, map[string]string{"service": *service}, &moves); err != nil {
+			return err
+		}
+		return s.print(moves, func(w io.Writer) { writeMoves(w, moves) })
+	}
+}
+
+func defineExplain(flags *flag.FlagSet) func(*session, []string) error {
+	method := flags.String("method", "GET", "`method` of the call")
+	return func(s *session, args []string) error {
+		if len(args) != 2 {
+			return &UsageError{Message: "explain needs HOST and PATH"}
+		}
+		var explanation admin.Explanation
+		query := map[string]string{"host": args[0], "path": args[1], "method": *method}
+		if err := s.client.get(s.ctx, admin.PathExplain, query, &explanation); err != nil {
+			return err
+		}
+		return s.print(explanation, func(w io.Writer) { writeExplanation(w, explanation) })
+	}
+}
+
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		data, _ := json.Marshal(args[0]) // a string
+		return &UsageError{Message: fmt.Sprintf("argument %s is not expected", data)}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/ctl/write.go
@@ -0,0 +1,128 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/admin"
+)
+
+func writeApply(w io.Writer, result admin.ApplyResult) {
+	switch {
+	case result.Repeated:
+		fmt.Fprintf(w, "operation was already accepted as version %d\n", result.Version)
+	case !result.Changed:
+		fmt.Fprint(w, result.Diff.Text())
+		fmt.Fprintf(w, "version %d stays current\n", result.Version)
+	default:
+		fmt.Fprint(w, result.Diff.Text())
+		fmt.Fprintf(w, "accepted as version %d\n", result.Version)
+	}
+	if result.Wait == nil {
+		return
+	}
+	waited := time.Duration(result.Wait.WaitedMS) * time.Millisecond
+	if result.Wait.Complete {
+		fmt.Fprintf(w, "in force everywhere after %v\n", waited)
+		return
+	}
+	fmt.Fprintf(w, "not known to be in force everywhere after %v\n", waited)
+	if result.Wait.Reason != "" {
+		fmt.Fprintln(w, "  "+result.Wait.Reason)
+	}
+	for _, domain := range result.Wait.Behind {
+		fmt.Fprintf(w, "  %s: version %d, %d of %d daemons behind%s\n",
+			domain.Domain, domain.Version, domain.Behind, domain.Members, names(domain.BehindNames))
+	}
+}
+
+func names(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return ": " + strings.Join(list, ", ")
+}
+
+func table(w io.Writer, header string, rows func(add func(...any))) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.ReplaceAll(header, " ", "\t"))
+	rows(func(cells ...any) {
+		fmt.Fprintln(t, strings.TrimSuffix(fmt.Sprintf(strings.Repeat("%v\t", len(cells)), cells...), "\t"))
+	})
+	_ = t.Flush()
+}
+
+func writeStatus(w io.Writer, status admin.Status, now time.Time) {
+	fmt.Fprintf(w, "daemon %s in %s: version %d, highest version known %d\n", status.Daemon, status.Domain, status.Version, status.FleetVersion)
+	switch {
+	case status.Store.Reachable:
+		fmt.Fprintln(w, "store: reachable")
+	case status.Store.StaleSince != nil:
+		fmt.Fprintf(w, "store: not reachable, stale since %s (%v)\n",
+			status.Store.StaleSince.UTC().Format(time.RFC3339), now.Sub(*status.Store.StaleSince).Round(time.Second))
+	default:
+		fmt.Fprintln(w, "store: not reachable since this daemon started")
+	}
+	if status.Store.Error != "" {
+		fmt.Fprintln(w, "  "+status.Store.Error)
+	}
+	table(w, "DOMAIN VERSION DAEMONS BEHIND AGE NAMES", func(add func(...any)) {
+		for _, d := range status.Domains {
+			age := time.Duration(d.AgeMS) * time.Millisecond
+			add(d.Domain, d.Version, d.Members, d.Behind, age, strings.Join(d.BehindNames, ","))
+		}
+	})
+}
+
+func writeMoves(w io.Writer, moves []admin.MoveStatus) {
+	if len(moves) == 0 {
+		fmt.Fprintln(w, "no moves")
+		return
+	}
+	table(w, "SERVICE MOVE FROM TO BY STATE SHARE NON-IDEMPOTENT REASON", func(add func(...any)) {
+		for _, m := range moves {
+			state := string(m.State)
+			if !m.Recorded {
+				state += " (not recorded)"
+			}
+			add(m.Service, m.Move, m.From, m.To, m.By.UTC().Format(time.RFC3339), state,
+				percent(m.Share), percent(m.NonIdempotentShare), m.Reason)
+		}
+	})
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.4g%%", share*100) }
+
+func writeExplanation(w io.Writer, e admin.Explanation) {
+	if !e.Matched {
+		fmt.Fprintf(w, "version %d: no route: %s\n", e.Version, e.Reason)
+		return
+	}
+	kind := "not idempotent"
+	if e.Idempotent {
+		kind = "idempotent"
+	}
+	fmt.Fprintf(w, "version %d: route %s of service %s (team %s), %s, deadline %v, at most %d attempts\n",
+		e.Version, e.Route, e.Service, e.Team, kind, time.Duration(e.DeadlineMS)*time.Millisecond, e.Attempts)
+	if e.Reason != "" {
+		fmt.Fprintln(w, e.Reason)
+	}
+	for _, v := range e.Versions {
+		move := ""
+		if v.Move != "" {
+			move = " by move " + v.Move
+		}
+		fmt.Fprintf(w, "  %s of calls to version %s%s\n", percent(v.Share), v.Version, move)
+	}
+	if len(e.Targets) == 0 {
+		return
+	}
+	table(w, "TARGET DOMAIN VERSION SLOTS IN-USE USABLE REASON", func(add func(...any)) {
+		for _, t := range e.Targets {
+			add(t.Name, t.Domain, t.Version, t.Slots, t.InUse, t.Usable, t.Reason)
+		}
+	})
+}
