admin: make the graceful stop test see an early return

Cause: TestGracefulStop passed with the Serve that returned too early, since the process and so the request went on.

Change: the test demands that the request has ended when Serve returns.

Conclusion: the test guards what it says.

--- a/pkg/admin/server_test.go
+++ b/pkg/admin/server_test.go
@@ -218,6 +218,7 @@
 	stopped := make(chan struct{})
 	time.AfterFunc(300*time.Millisecond, func() {
 		f.stop()
+		assert.Check(t, f.fleet.lag.Load() < 0, "stopped while a request was under way")
 		close(stopped)
 	})
 	var result ApplyResult
