--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -31,8 +31,7 @@
 
 // Decide returns what comes next. Sums must have been observed before.
 func (j *Judge) Decide(now time.Time, targets Targets) Decision {
-	j.targets = targets
-	j.noteTargets(now)
+	j.noteTargets(now, targets)
 	d := j.decide(now)
 	if d.Verdict == VerdictSpread {
 		return d
@@ -45,8 +44,16 @@
 	return d
 }
 
-// noteTargets keeps the load of the targets before and during the move.
-func (j *Judge) noteTargets(now time.Time) {
+// targetMemory is how long a target that is not counted any more is still
+// expected back: counts flap when health misleads.
+const targetMemory = time.Minute
+
+// noteTargets keeps the targets, and their load before and during the move.
+func (j *Judge) noteTargets(now time.Time, targets Targets) {
+	j.targets.Old = targets.Old
+	if targets.New >= j.targets.New || now.Sub(j.counted) > targetMemory {
+		j.targets.New, j.counted = targets.New, now
+	}
 	if j.targets.New == 0 {
 		j.newSince = time.Time{}
 	} else if j.newSince.IsZero() {
@@ -56,7 +63,7 @@
 	if j.targets.Old > 0 && (j.stage.Share == 0 || j.reference == 0) {
 		j.reference = rate / float64(j.targets.Old)
 	}
-	if j.stage.Share > 0 && j.stage.MaxNewTargets > 0 && now.Sub(j.stage.Since) >= meterShortest {
+	if j.stage.Share > 0 && j.stage.MaxNewTargets > 0 && now.Sub(j.stage.Since) >= planShortest {
 		j.worked = max(j.worked, j.stage.Share*rate/float64(j.stage.MaxNewTargets))
 	}
 }
@@ -171,7 +178,11 @@
 		growth = exposedGrowth
 	}
 	allowed := growth * max(j.worked, j.stage.Share*rate/float64(max(j.stage.MaxNewTargets, 1)))
-	return min(next, allowed*float64(j.targetsFor(next, rate))/rate)
+	bound := allowed * float64(j.targetsFor(next, rate)) / rate
+	if bound >= nearlyAll {
+		return next
+	}
+	return min(next, bound)
 }
 
 // loadObstacle keeps the next step within the slots of the announced targets.
--- a/pkg/move/hold.go
+++ b/pkg/move/hold.go
@@ -12,20 +12,26 @@
 const (
 	// holdMemory is the number of recent attempts that a route is watched by
 	// while the old version gets no calls to compare with.
-	holdMemory = 40
+	holdMemory     = 40
+	holdMemoryBusy = 200
 	// Limits that start a probe. A probe costs little, so they are low.
 	probeFailures = 3
 	probeRate     = 0.05
-	probeTimes    = 3
+	probeTimes    = 1.5
 	probeSlow     = 0.85
 	probeAnswers  = 10
 	probeCrashes  = 2
-	// probeTime and probeAttempts end a probe that found nothing.
-	probeTime     = 30 * time.Second
-	probeAttempts = 20
-	// Shares of the new version in a probe, under much and little traffic.
-	probeShareBusy  = 0.8
-	probeShareQuiet = 0.5
+	// A probe that finds nothing lasts at least probeTime and probeCalls calls to
+	// both versions: two windows for latencies. It goes on while the e-value is
+	// above probeClear, up to probeFactor times as long.
+	probeTime   = 30 * time.Second
+	probeCalls  = 2 * richWindow
+	probeClear  = 1.5
+	probeFactor = 10
+	// Shares of the new version in a probe, under much and little traffic. A new
+	// failure weighs about log(1/share), so a third tells most for each call.
+	probeShareBusy  = 0.5
+	probeShareQuiet = 0.3
 	busyRate        = 20 // calls/s
 	// holdFactor bounds the hold time of a service with little traffic.
 	holdFactor = 6
@@ -55,7 +61,7 @@
 	r.add(o, b.old.quantile(medianQuantile))
 }
 
-type recentCounts struct{ n, failed, crashed, answered, slow float64 }
+type recentCounts struct{ n, failed, crashed, answered, slow, last float64 }
 
 // observe adds a window; answers are slow above the old version's median.
 func (h *holdWatch) observe(route string, b *baseline, n *Counts, tolerance int) {
@@ -75,9 +81,14 @@
 
 // add counts a window and forgets older ones by and by.
 func (r *recentCounts) add(c *Counts, limit int) {
-	if r.n > holdMemory {
-		keep := holdMemory / 2 / r.n
-		*r = recentCounts{r.n * keep, r.failed * keep, r.crashed * keep, r.answered * keep, r.slow * keep}
+	memory := float64(holdMemory)
+	if r.last >= holdMemory/2 || float64(c.Attempts) >= holdMemory/2 {
+		memory = holdMemoryBusy
+	}
+	r.last = float64(c.Attempts)
+	if r.n > memory {
+		keep := memory / 2 / r.n
+		*r = recentCounts{r.n * keep, r.failed * keep, r.crashed * keep, r.answered * keep, r.slow * keep, r.last}
 	}
 	r.n += float64(c.Attempts)
 	r.failed += float64(c.Failures)
@@ -132,7 +143,8 @@
 		}
 		return d
 	}
-	held := now.Sub(j.stage.Since)
+	// Probes count as hold time: they compare the versions as well as before.
+	held := min(now.Sub(j.stage.Full), now.Sub(j.stage.Since)+c.Hold-c.MinDwell)
 	if held < c.Hold || (j.stageAttempts() < c.GoodEvidence && held < holdFactor*c.Hold) {
 		d.Reason = fmt.Sprintf("old targets are kept for %v after the last step", c.Hold)
 		return d
@@ -146,8 +158,11 @@
 
 // decideProbe ends a probe when the versions are alike.
 func (j *Judge) decideProbe(now time.Time, d Decision) Decision {
-	if now.Sub(j.stage.Since) < probeTime || j.stageAttempts() < probeAttempts || j.EValue() >= j.plan.Caution.Suspicion {
-		d.Reason = fmt.Sprintf("comparing with the old version, e-value %.2g", j.EValue())
+	elapsed, e := now.Sub(j.stage.Since), j.EValue()
+	calls := j.meter.old + j.meter.new - j.stageCalls
+	enough := elapsed >= probeTime && calls >= probeCalls && e < j.plan.Caution.Suspicion
+	if !enough || (e >= probeClear && elapsed < probeFactor*probeTime && calls < probeFactor*probeCalls) {
+		d.Reason = fmt.Sprintf("comparing with the old version, e-value %.2g", e)
 		return d
 	}
 	d.Verdict = VerdictStep
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -77,12 +77,15 @@
 	meter     rateMeter
 	crashed   [2]time.Time // last counted crash of the old and the new version
 	targets   Targets
-	reference float64 // calls/s on one old target before the move
+	counted   time.Time // when the number of new targets was last confirmed
+	reference float64   // calls/s on one old target before the move
 	newSince  time.Time
 	worked    float64 // largest load per target that the new version worked at
 	hold      holdWatch
 	latency   map[stratumKey]*latencyWindow
-	calmSince time.Time // when the new targets were last overloaded
+	// stageCalls counts the calls to both versions when the stage began.
+	stageCalls uint64
+	calmSince  time.Time // when the new targets were last overloaded
 }
 
 // RouteCounts are the counts of both versions on one route since the
@@ -112,6 +115,7 @@
 	j.stage = stage
 	j.shares[0].set(now, stage.NonIdempotent)
 	j.shares[1].set(now, stage.Share)
+	j.stageCalls = j.meter.old + j.meter.new
 	j.hold.reset()
 	if stage.Probing {
 		j.hold.accepted = nil
--- a/pkg/move/latency.go
+++ b/pkg/move/latency.go
@@ -53,7 +53,7 @@
 	if j.stage.MaxNewTargets == 0 || j.targets.Old == 0 || j.reference == 0 {
 		return false
 	}
-	oldRate, newRate := j.meter.rates()
+	oldRate, newRate := j.meter.rates(currentAttempts, currentShortest)
 	load := newRate / float64(j.stage.MaxNewTargets)
 	if newRate >= busyStrata/2 && load > overloadFactor*max(j.reference, oldRate/float64(j.targets.Old)) {
 		j.calmSince = now
--- a/pkg/move/meter.go
+++ b/pkg/move/meter.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
-	meterPoints   = 600
-	meterSpacing  = time.Second
-	meterAttempts = 50 // a rate rests on the shortest time that holds this many attempts
-	meterShortest = 4 * time.Second
+	meterPoints  = 600
+	meterSpacing = time.Second
+	// A planned rate rests on the shortest time that holds so many attempts and
+	// is at least so long. A current one reacts sooner to a surge.
+	planAttempts    = 100
+	planShortest    = 10 * time.Second
+	currentAttempts = 50
+	currentShortest = 4 * time.Second
 )
 
 // rateMeter estimates the rates of calls to both versions, from seconds under
@@ -38,8 +42,9 @@
 	m.points = append(m.points, meterPoint{at: now, old: m.old, new: m.new})
 }
 
-// rates returns calls/s to the old and the new version.
-func (m *rateMeter) rates() (o, n float64) {
+// rates returns calls/s to the old and the new version over the shortest time
+// that holds the attempts and is long enough.
+func (m *rateMeter) rates(attempts uint64, shortest time.Duration) (o, n float64) {
 	k := len(m.points)
 	if k < 2 {
 		return 0, 0
@@ -49,7 +54,7 @@
 	for lo < hi {
 		mid := (lo + hi + 1) / 2
 		p := m.points[mid]
-		if last.at.Sub(p.at) >= meterShortest && last.old+last.new-p.old-p.new >= meterAttempts {
+		if last.at.Sub(p.at) >= shortest && last.old+last.new-p.old-p.new >= attempts {
 			lo = mid
 		} else {
 			hi = mid - 1
@@ -64,7 +69,7 @@
 }
 
 func (m *rateMeter) total() float64 {
-	o, n := m.rates()
+	o, n := m.rates(planAttempts, planShortest)
 	return o + n
 }
 
@@ -74,5 +79,5 @@
 		return false
 	}
 	elapsed := now.Sub(m.started)
-	return elapsed >= meterShortest && (m.old+m.new >= meterAttempts || elapsed >= limit)
+	return elapsed >= planShortest && (m.old+m.new >= planAttempts || elapsed >= limit)
 }
--- a/pkg/move/schedule.go
+++ b/pkg/move/schedule.go
@@ -19,10 +19,16 @@
 	firstRate = 4
 	// exposedGrowth bounds the growth of load per target while a single target
 	// bears the whole share, loadGrowth after that.
-	exposedGrowth  = 2.6
-	loadGrowth     = 1.3
-	smallestRaise  = 1.05
-	overloadFactor = 1.25
+	exposedGrowth = 2.6
+	loadGrowth    = 1.3
+	smallestRaise = 1.05
+	nearlyAll     = 0.85 // a bound from here on is taken for the last step
+	// surge is the growth of traffic from which a share is spread. The ratio of
+	// two rates of planAttempts attempts has a standard deviation of 0.14.
+	surge = 1.6
+	// overloadFactor is the load of new targets, relative to that of old ones,
+	// from which their latency says nothing.
+	overloadFactor = 1.6
 	// capacityUse is the part of the slots of the new targets that a step may
 	// expect to fill.
 	capacityUse = 0.8
@@ -147,9 +153,14 @@
 // grown beyond what one target bore before the move.
 func (j *Judge) targetsFor(share, rate float64) int {
 	n := j.targets.New
-	m := int(math.Ceil(share*float64(max(n, j.targets.Old)) - 1e-9))
-	if j.reference > 0 {
-		m = max(m, int(math.Ceil(share*rate/j.reference-0.1)))
+	all := float64(max(n, j.targets.Old))
+	if j.reference > 0 && j.targets.Old > 0 {
+		// Only a clear growth counts: each spread on noise alone would take load
+		// from the targets that are to prove that they bear it.
+		if growth := rate / (j.reference * float64(j.targets.Old)); growth > surge {
+			all *= growth
+		}
 	}
+	m := int(math.Ceil(share*all - 1e-9))
 	return min(max(m, 1), max(n, 1))
 }
