Keep the record of a key at its home whatever version runs the call

Cause: a caller's key chose its home over all targets of the service and the home ran the call in its own version. So orders with a key reached a new version as soon as its targets were eligible, whatever share the move granted. Choosing the home within the version would move the records with each step of the share and run a repeated key twice. Second cause: TestLateAnswers failed in make test ("second /twice" instead of "/own/5"): an answer that had arrived unasked on an idle connection was taken for that of the next request, because a read whose deadline lies in the past never looks at the socket.

Change: the home keeps the record and sends the call on to a target of the version that the share gives (CallHead.recorded, Gate.forward, Router.Forward). Idle connections to the target are checked on the socket itself before reuse. The test waits until the second answer was written, instead of 10 ms.

Conclusion: an unasked answer is caught if it arrives before the next request is sent; later than that, HTTP/1.1 gives no means to tell it apart.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -29,8 +30,12 @@
 		Holds:         d.holds,
 		ConfigVersion: func() uint64 { return d.member.Snapshot().Version() },
 		Suspects:      suspectPublisher{d.member},
-		Down:          func() { d.local.Down() },
-		Logger:        d.decisions,
+		Forward: func(ctx context.Context, head *pb.CallHead, body []byte) (*pb.AnswerHead, []byte) {
+			return d.router.Forward(ctx, head, body)
+		},
+		NoteVersion: d.member.NoteVersion,
+		Down:        func() { d.local.Down() },
+		Logger:      d.decisions,
 	})
 	d.local = target.NewLocal(target.LocalOptions{
 		Name: d.settings.Name, Address: d.settings.Advertise, Domain: d.settings.Domain,
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -72,7 +72,13 @@
 	outcome := outcomeOf(attempt)
 	v.chooser.Report(bundle.Service.Name, attempt.Version, outcome, time.Now())
 	if recorder := v.recorder(bundle.Service.Name); recorder != nil {
-		recorder.Record(r.Name, attempt.Version, outcome, attempt.Latency)
+		latency := attempt.Latency
+		if !attempt.Idempotent && attempt.TargetTime > 0 {
+			// A keyed call may pass through its home, which says nothing about
+			// the version.
+			latency = attempt.TargetTime
+		}
+		recorder.Record(r.Name, attempt.Version, outcome, latency)
 	}
 }
 
--- a/pkg/route/flight.go
+++ b/pkg/route/flight.go
@@ -106,7 +106,11 @@
 	reply, err := f.router.options.Sender.Send(ctx, p.target.endpoint.GetAddress(), f.head(version), f.call.Body)
 	now := time.Now()
 	result := f.result(ctx, reply, err, now.Sub(start))
-	result.Warm = p.done(judge(&result, err), result.Latency, reply.load(), now, time.Duration(f.bundle.Service.ColdStart))
+	verdict := judge(&result, err)
+	if p.target.endpoint.GetVersion() != version && verdict != verdictGone {
+		verdict = verdictNeutral // the home sent the call on to another target
+	}
+	result.Warm = p.done(verdict, result.Latency, reply.load(), now, time.Duration(f.bundle.Service.ColdStart))
 	f.router.options.Versions.Report(f.bundle, f.route, result)
 	if newer := reply.configVersion(); newer > f.decision.Config {
 		f.router.options.Config.Newer(newer)
@@ -139,9 +143,13 @@
 		return nil, "", err
 	}
 	f.key, f.createdMS = plan.key, plan.createdMS
-	// The home runs the call in its own version: another home would not know
-	// the key.
-	return plan.pick, plan.pick.target.endpoint.GetVersion(), nil
+	if f.call.Key == "" {
+		return plan.pick, plan.pick.target.endpoint.GetVersion(), nil
+	}
+	// The caller's key decides the home and not the version: the home keeps the
+	// record, and sends the call on when its own target has another version.
+	choice := r.options.Versions.Choose(f.bundle, f.route, f.call)
+	return plan.pick, choice.Version, nil
 }
 
 // head describes the attempt to the target side.
--- a/pkg/target/faketarget/daemon.go
+++ b/pkg/target/faketarget/daemon.go
@@ -1,6 +1,7 @@
 package faketarget
 
 import (
+	"context"
 	"encoding/binary"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,8 @@
 	Logger *zap.Logger
 	// Unannounced leaves the announcement to the test.
 	Unannounced bool
+	// Forward runs keyed calls of another version.
+	Forward func(ctx context.Context, head *pb.CallHead, body []byte) (*pb.AnswerHead, []byte)
 }
 
 // NewDaemon returns a daemon whose target is announced.
@@ -88,7 +91,7 @@
 			return !d.NoBundle.Load()
 		},
 		ConfigVersion: func() uint64 { return 7 },
-		Suspects:      d, Down: d.Local.Down, Logger: config.Logger,
+		Suspects:      d, Down: d.Local.Down, Logger: config.Logger, Forward: config.Forward,
 	})
 	d.Local.SetGate(d.Gate)
 	if !config.Unannounced {
--- /dev/null
+++ b/pkg/target/forward.go
@@ -0,0 +1,62 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"nutmegstand.example/nutmegstand/pkg/pb"
+)
+
+// elsewhere reports whether a keyed call of this home is to run on another
+// target: the own one has another version, or is down. The record of a key must
+// not move with the shares of a move, so it lies at a home that is chosen over
+// all versions.
+func (g *Gate) elsewhere(c *call) bool {
+	state := g.state.Load()
+	if g.options.Forward == nil || state.service != c.head.GetService() || state.phase == phaseLeaving {
+		return false
+	}
+	return state.version != c.head.GetTargetVersion() || state.phase == phaseDown
+}
+
+// forward sends a keyed call on to another target side and records its end.
+func (g *Gate) forward(ctx context.Context, c *call, record *keyRecord) (*pb.AnswerHead, []byte) {
+	if refused := g.checkForward(ctx, c); refused != nil {
+		g.keys.Abort(record)
+		return refused.head(), nil
+	}
+	g.keys.Dispatched(record)
+	head := proto.Clone(c.head).(*pb.CallHead)
+	head.Recorded = true
+	runCtx, cancel := g.runContext(ctx, c)
+	defer cancel()
+	started := time.Now()
+	answer, body := g.options.Forward(runCtx, head, c.body)
+	c.ran = time.Since(started)
+	switch answer.GetOutcome() {
+	case pb.Outcome_OUTCOME_NOT_RUN, pb.Outcome_OUTCOME_BAD_REQUEST:
+		g.keys.Abort(record)
+	case pb.Outcome_OUTCOME_ANSWERED:
+		g.keys.Finish(record, &Answer{Status: answer.GetStatus(), Headers: answer.GetHeaders(), Body: body})
+	default:
+		g.keys.Finish(record, nil)
+	}
+	return answer, body
+}
+
+// checkForward refuses what the other target side would refuse too, and a home
+// without a membership lease: its keys may have passed to another home.
+func (g *Gate) checkForward(ctx context.Context, c *call) *RefusedError {
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil:
+		return refuse(pb.Refusal_REFUSAL_CANCELLED, "the caller gave up", 0)
+	case !now.Before(c.deadline):
+		return refuse(pb.Refusal_REFUSAL_DEADLINE, "the deadline has passed", 0)
+	case !now.Before(g.options.Lease()):
+		return refuse(pb.Refusal_REFUSAL_NO_LEASE, "the membership lease has ended", time.Second)
+	}
+	return nil
+}
--- a/pkg/target/gate.go
+++ b/pkg/target/gate.go
@@ -29,6 +29,11 @@
 	// ConfigVersion returns the configuration version in force.
 	ConfigVersion func() uint64
 	Suspects      SuspectPublisher
+	// Forward runs a call on another target of the call's version, for a key
+	// whose home is this daemon. Nil refuses such calls.
+	Forward func(ctx context.Context, head *pb.CallHead, body []byte) (*pb.AnswerHead, []byte)
+	// NoteVersion takes the configuration version that a call carried; may be nil.
+	NoteVersion func(version uint64)
 	// Down is called once when the target was seen to be down.
 	Down   func()
 	Logger *zap.Logger
@@ -146,9 +151,12 @@
 		deadline:    now.Add(time.Duration(head.GetDeadlineMs()) * time.Millisecond),
 		fingerprint: Fingerprint(head.GetMethod(), head.GetPath(), body),
 	}
+	if g.options.NoteVersion != nil {
+		g.options.NoteVersion(head.GetConfigVersion())
+	}
 	var answer *pb.AnswerHead
 	var content []byte
-	if head.GetIdempotent() {
+	if head.GetIdempotent() || head.GetRecorded() {
 		answer, content = g.run(ctx, c, nil)
 	} else {
 		answer, content = g.doKeyed(ctx, c)
@@ -174,6 +182,9 @@
 		}
 		switch state {
 		case keyNew:
+			if g.elsewhere(c) {
+				return g.forward(ctx, c, record)
+			}
 			return g.run(ctx, c, record)
 		case keyRunning:
 			if head, body, ended := g.awaitRun(ctx, c, record); ended {
--- a/pkg/target/httpbackend_test.go
+++ b/pkg/target/httpbackend_test.go
@@ -131,9 +131,12 @@
 }
 
 // TestLateAnswers guards against an answer reaching another request: one that
-// arrives after its deadline, and one that arrives twice.
+// arrives after its deadline, and one that arrives twice. The second answer is
+// on the connection before its reuse; one that arrives later cannot be told
+// from the next request's own in HTTP/1.1.
 func TestLateAnswers(t *testing.T) {
 	var mu sync.Mutex
+	second := make(chan struct{}, 1)
 	raw := startRawTarget(t, func(conn net.Conn, path string) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -148,6 +151,7 @@
 			go func() {
 				time.Sleep(5 * time.Millisecond)
 				_, _ = conn.Write([]byte(whole("second " + path)))
+				second <- struct{}{}
 			}()
 		default:
 			_, _ = conn.Write([]byte(whole(path)))
@@ -161,7 +165,7 @@
 		assert.Assert(t, err != nil, "an answer came before its time")
 		_, err = exchange(context.Background(), backend, "/twice")
 		assert.NilError(t, err)
-		time.Sleep(10 * time.Millisecond)
+		<-second
 		path := fmt.Sprint("/own/", i)
 		answer, err := exchange(context.Background(), backend, path)
 		assert.NilError(t, err)
--- a/pkg/target/keys.go
+++ b/pkg/target/keys.go
@@ -181,6 +181,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.records, record.id)
+	record.dispatched = false // a call that was sent on and proved not run
 	close(record.end)
 }
 
--- a/pkg/target/targetconn.go
+++ b/pkg/target/targetconn.go
@@ -13,7 +13,6 @@
 
 	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/http1"
 )
 
@@ -21,12 +20,10 @@
 // It does so by HTTP method, but only the route says what is idempotent.
 var errNoSecondDial = errors.New("target: the request may have been sent")
 
-var transport = standard.NewDialer()
-
 // targetConn is one connection to the target with a hertz client of its own,
 // so that an exchange uses exactly the connection that was reserved for it.
 type targetConn struct {
-	network.Conn
+	*rawConn
 	address string
 	round   int
 	client  *http1.HostClient
@@ -48,11 +45,11 @@
 
 // dialTarget opens a connection and gives it a hertz client.
 func dialTarget(address string, round int) (*targetConn, error) {
-	conn, err := transport.DialConnection("tcp", address, dialTimeout, nil)
+	conn, err := dialRaw(address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	c := &targetConn{Conn: conn, address: address, round: round}
+	c := &targetConn{rawConn: conn, address: address, round: round}
 	c.client = &http1.HostClient{Addr: address, ClientOptions: &http1.ClientOptions{
 		Dialer:                        singleDialer{conn: c},
 		NoDefaultUserAgentHeader:      true,
@@ -89,7 +86,7 @@
 // Close implements net.Conn; hertz closes the connection after an error.
 func (c *targetConn) Close() error {
 	c.closed.Store(true)
-	return c.Conn.Close()
+	return c.rawConn.Close()
 }
 
 func (c *targetConn) close() { _ = c.Close() }
@@ -98,25 +95,25 @@
 
 // Peek implements network.Reader.
 func (c *targetConn) Peek(n int) ([]byte, error) {
-	p, err := c.Conn.Peek(n)
+	p, err := c.rawConn.Peek(n)
 	return p, c.note(err)
 }
 
 // Read implements io.Reader.
 func (c *targetConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.rawConn.Read(p)
 	return n, c.note(err)
 }
 
 // ReadByte implements network.Reader.
 func (c *targetConn) ReadByte() (byte, error) {
-	b, err := c.Conn.ReadByte()
+	b, err := c.rawConn.ReadByte()
 	return b, c.note(err)
 }
 
 // ReadBinary implements network.Reader.
 func (c *targetConn) ReadBinary(n int) ([]byte, error) {
-	p, err := c.Conn.ReadBinary(n)
+	p, err := c.rawConn.ReadBinary(n)
 	return p, c.note(err)
 }
 
@@ -145,9 +142,9 @@
 func (c *targetConn) watch(arrived func()) {
 	w := &connWatcher{ended: make(chan struct{})}
 	c.watcher = w
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.rawConn.SetReadDeadline(time.Time{})
 	go func() {
-		_, err := c.Conn.Peek(1)
+		_, err := c.rawConn.Peek(1)
 		var timeout net.Error
 		w.arrived = err == nil || !errors.As(err, &timeout) || !timeout.Timeout()
 		close(w.ended)
@@ -166,9 +163,11 @@
 	}
 	c.watcher = nil
 	w.stopping.Store(true)
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.rawConn.SetReadDeadline(time.Unix(1, 0))
 	<-w.ended
-	return !w.arrived && !c.isClosed()
+	_ = c.rawConn.SetReadDeadline(time.Time{})
+	// The watch may have been ended before it looked at what had arrived.
+	return !w.arrived && !c.isClosed() && !c.pending()
 }
 
 // isReset reports whether the target's side of the connection ended.
