accept: read the head several times after a lost answer

Cause: the fault that loses the answer to the head update often meets the first read after it, and the outcome was then reported as unknown although the store answered again soon.

Change: the read is tried up to five times, from 100 ms on with growing pauses. At most 20 touched names are kept for one operation, because the head goes to every daemon that joins.

Measured: TestReadBackAfterOutage, with three reads refused after a lost answer, gives version 1; the outcome was unknown at the first refused read before.

Conclusion: a short outage around the commit point leaves no unknown outcome.

--- a/pkg/accept/accept_test.go
+++ b/pkg/accept/accept_test.go
@@ -228,6 +228,31 @@
 	assert.DeepEqual(t, slots(t, backing), map[string]int{"a": 2, "b": 2})
 }
 
+// TestReadBackAfterOutage guards against an outcome that stays unknown although
+// the store answers again soon after it lost the answer to the head update.
+func TestReadBackAfterOutage(t *testing.T) {
+	backing := standin.New(1)
+	failures := 3
+	h := &hookStore{Store: backing}
+	h.before = func(op, key string) error {
+		if held := backing.Counts().Writes; op == "get" && held == 4 && failures > 0 {
+			failures--
+			return &store.UnavailableError{Op: op}
+		}
+		return nil
+	}
+	h.after = func(op, key string) error {
+		if isWrite(op) && key == config.HeadKey {
+			return lost(op, key)
+		}
+		return nil
+	}
+	result, err := newAcceptor(h).Accept(t.Context(), request("op1", "a=1"))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Version, uint64(1))
+	assert.Equal(t, failures, 0)
+}
+
 // TestRivalBeforeEachWrite guards against a lost or overwritten change when
 // another operator is accepted before any one write of an apply.
 func TestRivalBeforeEachWrite(t *testing.T) {
--- a/pkg/accept/write.go
+++ b/pkg/accept/write.go
@@ -2,11 +2,21 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
 
 	"nutmegstand.example/nutmegstand/pkg/config"
 	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
+const (
+	// readBackTries and readBackInterval let about a second pass, in which most
+	// lost connections have been replaced.
+	readBackTries    = 5
+	readBackInterval = 100 * time.Millisecond
+)
+
 // writeBlobs writes the blobs that the version before does not hold. When it
 // returns, the store revision of each is larger than that of the head read,
 // which is what keeps the Collector from removing them.
@@ -70,7 +80,7 @@
 			return false, &NotAppliedError{Step: "updating the head", Cause: err}
 		}
 		uncertain = true
-		head, revision, readErr := a.loader.head(ctx)
+		head, revision, readErr := a.readBack(ctx)
 		if readErr != nil {
 			return false, &OutcomeUnknownError{Operation: op.ID, Cause: readErr}
 		}
@@ -84,6 +94,22 @@
 	return false, &OutcomeUnknownError{Operation: op.ID, Cause: err}
 }
 
+// readBack reads the head after a lost answer. The fault that lost the answer
+// often meets the first read as well, so the read is tried again for a while.
+func (a *Acceptor) readBack(ctx context.Context) (config.Head, int64, error) {
+	interval := backoff.NewExponentialBackOff()
+	interval.InitialInterval = readBackInterval
+	var revision int64
+	head, err := backoff.Retry(ctx, func() (head config.Head, err error) {
+		head, revision, err = a.loader.head(ctx)
+		if err != nil && !store.IsUnavailable(err) {
+			return head, backoff.Permanent(err)
+		}
+		return head, err
+	}, backoff.WithBackOff(interval), backoff.WithMaxTries(readBackTries))
+	return head, revision, err
+}
+
 func (a *Acceptor) putHead(ctx context.Context, revision int64, data []byte) error {
 	var err error
 	if revision == 0 {
--- a/pkg/config/manifest.go
+++ b/pkg/config/manifest.go
@@ -53,9 +53,9 @@
 // TouchedAll stands for every manifest entry.
 const TouchedAll = "*"
 
-// maxTouched bounds the names kept for one operation, so that 64 operations
-// stay far below the value limit of the store.
-const maxTouched = 50
+// maxTouched bounds the names kept for one operation. The head goes to every
+// daemon that joins, and most changes touch one service.
+const maxTouched = 20
 
 // SetTouched records the changed manifest entries.
 func (o *Operation) SetTouched(names []string) {
