--- a/pkg/accept/collect.go
+++ b/pkg/accept/collect.go
@@ -19,7 +19,7 @@
 const CollectGrace = 10 * time.Minute
 
 // Collector removes blobs that no version in use names. At 10,000 changes a day
-// one step every ten minutes lists about 70 unused manifests and bundles (1 MB)
+// one step every ten minutes lists about 70 unused manifests and bundles (2 MB)
 // and costs two reads, one list and one delete for each.
 //
 // A blob is removed only if all of this holds:
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -101,7 +101,7 @@
 func Propose(current *Configuration, sources []Source, options Options) (*Proposal, error) {
 	change, problems := Decode(sources)
 	next := current.merge(change)
-	c := &checker{change: change, current: current, next: next, problems: problems}
+	c := &checker{change: change, next: next, problems: problems}
 	c.checkNames()
 	for _, service := range change.Services {
 		c.problems = append(c.problems, checkService(service)...)
--- a/pkg/config/cross.go
+++ b/pkg/config/cross.go
@@ -10,7 +10,6 @@
 // checker checks a change against the configuration that it leads to.
 type checker struct {
 	change   *Change
-	current  *Configuration
 	next     *Configuration
 	problems []Problem
 }
