config: bound the work on a file within the size limit

Cause: a file of 1 MB can hold 350,000 empty objects. Each gave a problem, the look-up of bad items was quadratic, and the answer was far larger than the file.

Change: lists of more than 2000 elements and objects of more than 200 members end the scan; bad items and dependants are found by map; at most 1000 problems are returned. The largest request is 4 MB, since JSON escapes can double the size of a file.

--- a/pkg/admin/settings.go
+++ b/pkg/admin/settings.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// defaultMaxBodyBytes is twice the largest operator file.
-	defaultMaxBodyBytes = 2 << 20
+	// defaultMaxBodyBytes holds the largest operator file, of which the escapes
+	// of JSON can double the size, and as much again in other files.
+	defaultMaxBodyBytes = 4 << 20
 	// Default rate of one token. Changes come at 0.12/s from all operators
 	// together, and a waiting nutmegctl needs one request.
 	defaultRequestsPerSecond = 20
@@ -21,7 +22,7 @@
 type Settings struct {
 	Address string  `json:"address"`
 	Tokens  []Token `json:"tokens"`
-	// MaxBodyBytes bounds the body of a request; 0 means 2 MB.
+	// MaxBodyBytes bounds the body of a request; 0 means 4 MB.
 	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
 	// RequestsPerSecond and Burst bound the requests of one token; 0 means 20
 	// and 40. All requests without a valid token share one such bound.
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -114,7 +114,7 @@
 	c.checkRouteOverlap()
 	c.checkSizes()
 	if len(c.problems) > 0 {
-		return nil, &ProblemsError{Problems: c.problems}
+		return nil, &ProblemsError{Problems: limitProblems(c.problems)}
 	}
 	return &Proposal{Change: change, Next: next, Diff: compare(current, next, change)}, nil
 }
--- a/pkg/config/cross.go
+++ b/pkg/config/cross.go
@@ -73,15 +73,18 @@
 
 // checkRemovals reports removed services that others still depend on.
 func (c *checker) checkRemovals() {
-	for _, name := range c.change.Removed {
-		var dependants []string
-		for _, other := range slices.Sorted(maps.Keys(c.next.Bundles)) {
-			if slices.Contains(c.next.Bundles[other].Service.DependsOn, name.Value) {
-				dependants = append(dependants, other)
-			}
+	if c.change.incomplete || len(c.change.Removed) == 0 {
+		return
+	}
+	dependants := map[string][]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.next.Bundles)) {
+		for _, dependency := range c.next.Bundles[name].Service.DependsOn {
+			dependants[dependency] = append(dependants[dependency], name)
 		}
-		if len(dependants) > 0 && !c.change.incomplete {
-			c.add(name.problem("", name.Value, "service is needed by "+strings.Join(dependants, ", "), "a service that no other depends on"))
+	}
+	for _, name := range c.change.Removed {
+		if needing := dependants[name.Value]; len(needing) > 0 {
+			c.add(name.problem("", name.Value, "service is needed by "+shorten(strings.Join(needing, ", ")), "a service that no other depends on"))
 		}
 	}
 }
--- a/pkg/config/decode.go
+++ b/pkg/config/decode.go
@@ -80,9 +80,7 @@
 	if !ok {
 		return problems
 	}
-	bad := func(path string) bool {
-		return slices.ContainsFunc(problems, func(p Problem) bool { return within(p.Path, path) })
-	}
+	bad := badItems(problems)
 	problems = append(problems, decodeList(source.Name, root, "teams", bad, &c.Teams)...)
 	problems = append(problems, decodeList(source.Name, root, "services", bad, &c.Services)...)
 	problems = append(problems, decodeList(source.Name, root, "removedServices", bad, &c.Removed)...)
@@ -93,18 +91,24 @@
 	return problems
 }
 
-// within reports whether path is prefix or lies below it.
-func within(path, prefix string) bool {
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+// badItems returns the paths of the list items, such as $.services[3], in or
+// below which there is a problem.
+func badItems(problems []Problem) map[string]bool {
+	bad := map[string]bool{}
+	for _, p := range problems {
+		if item, _, ok := strings.Cut(p.Path, "]"); ok {
+			bad[item+"]"] = true
+		}
+	}
+	return bad
 }
 
-func decodeList[T any](file string, root map[string]any, field string, bad func(string) bool, into *[]Placed[T]) []Problem {
+func decodeList[T any](file string, root map[string]any, field string, bad map[string]bool, into *[]Placed[T]) []Problem {
 	var problems []Problem
 	list, _ := root[field].([]any)
 	for i, item := range list {
 		placed := Placed[T]{File: file, Path: itemPath("$."+field, i)}
-		if bad(placed.Path) {
+		if bad[placed.Path] {
 			continue
 		}
 		if err := decodeInto(item, &placed.Value); err != nil {
--- a/pkg/config/decode_test.go
+++ b/pkg/config/decode_test.go
@@ -114,6 +114,32 @@
 	})
 }
 
+// TestHostileFiles guards against a file within the size limit that keeps a
+// daemon busy for long, and against an answer that is far larger than the file.
+func TestHostileFiles(t *testing.T) {
+	fill := func(head, item, tail string) string {
+		n := (MaxFileBytes - len(head) - len(tail)) / (len(item) + 1)
+		return head + strings.Repeat(item+",", n-1) + item + tail
+	}
+	for name, file := range map[string]string{
+		"empty services":   fill(`{"services":[`, `{}`, `]}`),
+		"unknown removals": fill(`{"removedServices":[`, `"a"`, `]}`),
+		"equal services":   fill(`{"services":[`, `{"name":"a","team":"t","version":"v","slots":1,"connections":1}`, `]}`),
+		"unknown fields":   fill(`{"teams":[`, `{"x":1}`, `]}`),
+		"repeated keys":    fill(`{`, `"a":1`, `}`),
+		"unknown keys":     fill(`{"teams":[`, `{"a":1,"b":2,"c":3,"d":4,"e":5,"f":6,"g":[[[[1]]]]}`, `]}`),
+		"many problems":    `{"teams":[` + strings.Repeat(`{"name":"a","x":1},`, 999) + `{}]}`,
+		"nested arrays":    fill(`{"teams":`, `[[[[[[[[]]]]]]]]`, `}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			_, problems := propose(t, &Configuration{}, file)
+			assert.Assert(t, len(problems) > 0 && len(problems) <= maxProblems+1)
+			assert.Assert(t, time.Since(start) < 5*time.Second, "%v", time.Since(start))
+		})
+	}
+}
+
 // TestSchemaEqualsTypes guards against a field that only the schema or only the
 // Go types know, and against one that differs in kind or in being required.
 func TestSchemaEqualsTypes(t *testing.T) {
--- a/pkg/config/problem.go
+++ b/pkg/config/problem.go
@@ -6,8 +6,12 @@
 	"strings"
 )
 
-// maxShownValue bounds the offending value shown in a problem.
-const maxShownValue = 120
+const (
+	// maxShownValue bounds the offending value shown in a problem.
+	maxShownValue = 120
+	// maxProblems bounds the problems shown at once.
+	maxProblems = 1000
+)
 
 // Problem is one reason why operator files are refused.
 type Problem struct {
@@ -43,6 +47,17 @@
 	return "config: files are refused:\n" + strings.Join(lines, "\n")
 }
 
+// limitProblems keeps an answer within a few hundred KB. A file with so many
+// problems was not written for this program.
+func limitProblems(problems []Problem) []Problem {
+	extra := len(problems) - maxProblems
+	if extra <= 0 {
+		return problems
+	}
+	last := Problem{File: "-", Path: "$", Message: fmt.Sprintf("%d more problems are not shown", extra)}
+	return append(problems[:maxProblems:maxProblems], last)
+}
+
 // showValue renders an offending value.
 func showValue(value any) string {
 	data, err := json.Marshal(value)
--- a/pkg/config/scan.go
+++ b/pkg/config/scan.go
@@ -16,6 +16,11 @@
 	MaxFileBytes = 1 << 20
 	// maxDepth bounds the nesting of a file; a valid file has depth 8.
 	maxDepth = 16
+	// maxElements bounds one list and maxMembers one object, so that a file
+	// within the size limit cannot hold a daemon up with a problem for each of
+	// its 300,000 elements. The schema allows at most 2000 and 9.
+	maxElements = 2000
+	maxMembers  = 200
 )
 
 // plainNumber excludes exponents, with which a few characters would denote a
@@ -85,6 +90,7 @@
 
 func (s *scanner) object(path string, depth int) (any, bool) {
 	object := map[string]any{}
+	members := 0
 	for s.decoder.More() {
 		token, err := s.decoder.Token()
 		name, ok := token.(string)
@@ -93,6 +99,10 @@
 			return nil, false
 		}
 		child := memberPath(path, name)
+		if members++; members > maxMembers {
+			s.report(path, "", "object has too many members", fmt.Sprintf("at most %d", maxMembers))
+			return nil, false
+		}
 		value, ok := s.value(child, depth+1)
 		if !ok {
 			return nil, false
@@ -110,6 +120,10 @@
 func (s *scanner) array(path string, depth int) (any, bool) {
 	array := []any{}
 	for s.decoder.More() {
+		if len(array) == maxElements {
+			s.report(path, "", "list has too many elements", fmt.Sprintf("at most %d", maxElements))
+			return nil, false
+		}
 		value, ok := s.value(itemPath(path, len(array)), depth+1)
 		if !ok {
 			return nil, false
