--- a/pkg/accept/history_test.go
+++ b/pkg/accept/history_test.go
@@ -210,15 +210,18 @@
 // TestInterleavings guards against a lost update in any order of the reads and
 // updates of the head by two operators: every schedule of their first eight
 // calls is run. Blobs are immutable, so the order of other calls is irrelevant.
-// Of two changes of the same service one is refused, otherwise none.
+// Of two changes of the same service one is refused, otherwise none, also if the
+// answers to the updates are lost.
 func TestInterleavings(t *testing.T) {
 	for schedule := range 1 << 8 {
-		testSchedule(t, schedule, 1, []string{"a", "b"}, []string{"b", "c"})
-		testSchedule(t, schedule, 0, []string{"a"}, []string{"b", "c"})
+		for _, loseAnswers := range []bool{false, true} {
+			testSchedule(t, schedule, loseAnswers, 1, []string{"a", "b"}, []string{"b", "c"})
+			testSchedule(t, schedule, loseAnswers, 0, []string{"a"}, []string{"b", "c"})
+		}
 	}
 }
 
-func testSchedule(t *testing.T, schedule, refused int, services ...[]string) {
+func testSchedule(t *testing.T, schedule int, loseAnswers bool, refused int, services ...[]string) {
 	backing := standin.New(1)
 	r := &recorder{start: time.Now()}
 	r.apply(t, newAcceptor(backing), 2, input{operation: "base", services: []string{"a", "b", "c"}, slots: 1})
@@ -233,6 +236,14 @@
 				}
 				return nil
 			}}
+			if loseAnswers {
+				h.after = func(op, key string) error {
+					if key == config.HeadKey && isWrite(op) {
+						return lost(op, key)
+					}
+					return nil
+				}
+			}
 			in := input{operation: fmt.Sprint("op", client), services: services[client], slots: 5 + client, base: 1}
 			r.apply(t, newAcceptor(h), client, in)
 		})
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -168,8 +168,11 @@
 		// The rest of the body may not have been read.
 		rc.SetConnectionClose()
 	}
-	if status == consts.StatusUnauthorized {
+	switch status {
+	case consts.StatusUnauthorized:
 		rc.Header("WWW-Authenticate", "Bearer")
+	case consts.StatusTooManyRequests, consts.StatusServiceUnavailable:
+		rc.Header("Retry-After", "1")
 	}
 	data, err := json.Marshal(answer)
 	if err != nil {
--- a/pkg/config/decode_test.go
+++ b/pkg/config/decode_test.go
@@ -233,7 +233,7 @@
 	assert.Equal(t, len(problems.Problems), 7, "%v", err)
 }
 
-func readExamples(t *testing.T, user string) []Source {
+func readExamples(t testing.TB, user string) []Source {
 	names, err := filepath.Glob(filepath.Join("..", "..", "examples", user, "*.json"))
 	assert.NilError(t, err)
 	assert.Assert(t, len(names) > 0)
@@ -252,6 +252,11 @@
 	f.Add([]byte(goodFile))
 	f.Add([]byte(`{"services": [{"name": "a", "slots": 1e9}], "services": []}`))
 	f.Add([]byte(`{"removedServices": ["a", "a"], "teams": [null, {"name": "\ud800"}]}`))
+	for _, user := range []string{"inzuzi", "lumiere", "bad"} {
+		for _, source := range readExamples(f, user) {
+			f.Add(source.Content)
+		}
+	}
 	f.Fuzz(func(t *testing.T, content []byte) {
 		sources := []Source{{Name: "f", Content: content}}
 		proposal, err := Propose(&Configuration{}, sources, Options{Now: testNow})
