Add the demo, the demo target and a hold time for moves

Cause: nothing shows the whole path with separate processes, and the hold time of a move was fixed by its caution (1 minute at least), too long for a move that is due within a minute.

Change: make demo with 12 daemons, 12 targets and the stand-in store; nutmegtarget; optional hold in a move; the shortest notice of a move is 30 s.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -15,9 +15,10 @@
 	// an attempt with less time would only spend the retry budget.
 	minAttemptTime = 5 * time.Millisecond
 	maxColdStart   = time.Hour
-	// minMoveTime is the shortest notice of a new move: steps, evidence and
-	// hold time do not fit in less.
-	minMoveTime = time.Minute
+	// minMoveTime is the shortest notice of a new move: two steps of 10 s with
+	// the reserve for waiting do not fit in less.
+	minMoveTime = 30 * time.Second
+	maxHold     = 24 * time.Hour
 	maxMoveTime = 400 * 24 * time.Hour
 )
 
@@ -94,6 +95,9 @@
 		if move.To == move.From {
 			problems = append(problems, p.problem(path+".to", move.To, "move leads to the version it begins with", "another version"))
 		}
+		if time.Duration(move.Hold) > maxHold {
+			problems = append(problems, p.problem(path+".hold", move.Hold, "hold time is too long", "at most "+maxHold.String()))
+		}
 		if !move.By.After(by) {
 			problems = append(problems, p.problem(path+".by", move.By, "move is to end before the move before it", "a time after "+by.Format(time.RFC3339)))
 		}
--- a/pkg/config/move.go
+++ b/pkg/config/move.go
@@ -10,6 +10,9 @@
 	// By is the time at which all traffic is to be on the new version.
 	By      time.Time `json:"by"`
 	Caution Caution   `json:"caution,omitempty"`
+	// Hold is the time after the last step in which the new version is still
+	// watched and the old targets are kept; 0 takes that of the caution.
+	Hold Duration `json:"hold,omitempty"`
 }
 
 // Caution trades the speed of a move against the certainty of its verdict.
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -37,6 +37,9 @@
 		By: m.By, Caution: Settings(m.Caution), Routes: map[string]bool{},
 		Slots: bundle.Service.Slots, ColdStart: time.Duration(bundle.Service.ColdStart),
 	}
+	if m.Hold > 0 {
+		plan.Caution.Hold = time.Duration(m.Hold)
+	}
 	for i := range bundle.Service.Routes {
 		plan.Routes[bundle.Service.Routes[i].Name] = bundle.Service.Routes[i].Idempotent
 	}
--- /dev/null
+++ b/test/demo/control.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/admin"
+	"nutmegstand.example/nutmegstand/pkg/config"
+)
+
+// control runs nutmegctl against the daemons.
+type control struct {
+	program   string
+	tokenFile string
+	vms       []*vm
+}
+
+// run runs one command and returns its output and exit code.
+func (c *control) run(command string, args ...string) (string, string, int, error) {
+	var servers []string
+	for _, v := range c.vms {
+		if !v.dead {
+			servers = append(servers, v.address(portAdmin))
+		}
+	}
+	all := append([]string{command, "-server", strings.Join(servers[:3], ","), "-token-file", c.tokenFile}, args...)
+	cmd := exec.Command(c.program, all...)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return stdout.String(), stderr.String(), exit.ExitCode(), nil
+	}
+	return stdout.String(), stderr.String(), 0, err
+}
+
+// query runs a command with JSON output and decodes it.
+func (c *control) query(result any, command string, args ...string) error {
+	stdout, stderr, code, err := c.run(command, append([]string{"-o", "json"}, args...)...)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return fmt.Errorf("nutmegctl %s: exit code %d: %s", command, code, stderr)
+	}
+	return json.Unmarshal([]byte(stdout), result)
+}
+
+func (c *control) status() (admin.Status, error) {
+	var s admin.Status
+	return s, c.query(&s, "status")
+}
+
+// moves returns the moves by name.
+func (c *control) moves() (map[string]admin.MoveStatus, error) {
+	var list []admin.MoveStatus
+	if err := c.query(&list, "moves"); err != nil {
+		return nil, err
+	}
+	byName := map[string]admin.MoveStatus{}
+	for _, m := range list {
+		byName[m.Move] = m
+	}
+	return byName, nil
+}
+
+// writeMoves writes the example services with moves that end soon.
+func writeMoves(examples, dir string, by time.Time, hold time.Duration) error {
+	for _, name := range []string{"catalogue.json", "orderdesk.json"} {
+		data, err := os.ReadFile(filepath.Join(examples, name))
+		if err != nil {
+			return err
+		}
+		var file config.File
+		if err := json.Unmarshal(data, &file); err != nil {
+			return err
+		}
+		for i := range file.Services {
+			for j := range file.Services[i].Moves {
+				m := &file.Services[i].Moves[j]
+				m.By, m.Hold, m.Caution = by.UTC().Truncate(time.Second), config.Duration(hold), config.CautionLow
+			}
+		}
+		if data, err = json.MarshalIndent(file, "", "  "); err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/demo/layout.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/settings"
+)
+
+const (
+	loopback    = "127.0.0.1"
+	portsPerVM  = 10
+	adminToken  = "demo-administrator"
+	demoDrain   = 10 * time.Second
+	processPart = "%s-%s"
+)
+
+// vm is one VM of the demo: a daemon and a target.
+type vm struct {
+	name, domain     string
+	service, version string
+	faults           []string // flags of the target
+	port             int
+	daemon, target   *process
+	dead             bool
+}
+
+func (v *vm) address(offset int) string { return fmt.Sprintf("%s:%d", loopback, v.port+offset) }
+
+// Offsets of the ports of a VM.
+const (
+	portCalls = iota
+	portLocal
+	portAnnounce
+	portDaemons
+	portAdmin
+	portMetrics
+	portTarget
+)
+
+// targetKind is a service in one version, with its scripted fault.
+type targetKind struct {
+	service, version string
+	flags            []string
+}
+
+// kinds run once in each failure domain. The new catalogue fails on one route.
+var kinds = []targetKind{
+	{service: "orderdesk", version: "2026.11", flags: []string{"-inner-host", "catalogue.inzuzi.example", "-inner-path", "/stock"}},
+	{service: "orderdesk", version: "2026.12", flags: []string{"-inner-host", "catalogue.inzuzi.example", "-inner-path", "/stock"}},
+	{service: "catalogue", version: "41"},
+	{service: "catalogue", version: "42", flags: []string{"-error-rate", "0.3", "-error-path", "/fish"}},
+}
+
+var domains = []string{"kgl-a", "kgl-b", "kgl-c"}
+
+func layout(basePort int) []*vm {
+	var vms []*vm
+	for _, domain := range domains {
+		for i, kind := range kinds {
+			vms = append(vms, &vm{
+				name: fmt.Sprintf("%s-%d", domain, i+1), domain: domain,
+				service: kind.service, version: kind.version, faults: kind.flags,
+				port: basePort + portsPerVM*(len(vms)+1),
+			})
+		}
+	}
+	return vms
+}
+
+// writeSettings writes the settings file of a daemon.
+func (v *vm) writeSettings(dir, storeAddress string) (string, error) {
+	sum := sha256.Sum256([]byte(adminToken))
+	s := settings.Settings{
+		Name: v.name, Domain: v.domain, Advertise: v.address(portDaemons),
+		Listen: settings.Listen{
+			Calls: v.address(portCalls), Local: v.address(portLocal), Announce: v.address(portAnnounce),
+			Daemons: v.address(portDaemons), Admin: v.address(portAdmin), Metrics: v.address(portMetrics),
+		},
+		Store:        settings.Store{Address: storeAddress, Timeout: settings.Duration(time.Second)},
+		Admin:        settings.Admin{Tokens: []settings.Token{{Name: "demo", SHA256: hex.EncodeToString(sum[:])}}, MaxBodyBytes: 4 << 20},
+		Calls:        settings.Calls{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10},
+		Log:          settings.Log{Level: "info", Decisions: true},
+		DrainTimeout: settings.Duration(demoDrain), MemoryLimitBytes: 96 << 20,
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(dir, v.name+".json")
+	return file, os.WriteFile(file, data, 0o600)
+}
+
+// start starts the daemon and the target of a VM.
+func (v *vm) start(f *fleet, dir, storeAddress string) error {
+	file, err := v.writeSettings(dir, storeAddress)
+	if err != nil {
+		return err
+	}
+	if v.daemon, err = f.start(fmt.Sprintf(processPart, v.name, "daemon"), "nutmegstandd", "-settings", file); err != nil {
+		return err
+	}
+	flags := append([]string{
+		"-listen", v.address(portTarget), "-announce", v.address(portAnnounce), "-local", v.address(portLocal),
+		"-service", v.service, "-version", v.version,
+	}, v.faults...)
+	v.target, err = f.start(fmt.Sprintf(processPart, v.name, "target"), "nutmegtarget", flags...)
+	return err
+}
