Send unchanged fields of heartbeats only once

A distributor of 267 member daemons exchanges two messages a second with each, so every repeated field costs it about 0.5 KB/s. Streams are ordered and reliable, so versions, digests, office and progress are sent on change only.

--- a/pkg/domain/exchange.go
+++ b/pkg/domain/exchange.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"nutmegstand.example/nutmegstand/pkg/pb"
 )
 
@@ -33,18 +35,19 @@
 	wake    chan struct{}
 	since   time.Time
 
-	mu          sync.Mutex
-	pending     map[recordKey]*pb.Record
-	version     uint64 // of the other distributor
-	behindSince time.Time
-	atOnce      bool // send the newest version without delay
-	sentVersion uint64
-	sentAt      time.Time
-	wantFull    bool
-	linked      []string             // domains that the other distributor reaches
-	lacks       map[string]time.Time // since when it lacks a domain, zero once relayed
-	toldLinked  []string
-	first       bool
+	mu           sync.Mutex
+	pending      map[recordKey]*pb.Record
+	version      uint64 // of the other distributor
+	behindSince  time.Time
+	atOnce       bool // send the newest version without delay
+	sentVersion  uint64
+	sentAt       time.Time
+	wantFull     bool
+	linked       []string             // domains that the other distributor reaches
+	lacks        map[string]time.Time // since when it lacks a domain, zero once relayed
+	toldLinked   []string
+	toldProgress *pb.DomainProgress
+	first        bool
 }
 
 // exchangeWith serves a link until it ends.
@@ -222,14 +225,14 @@
 	d := x.d
 	o := d.office.Load()
 	version := d.catalog.version()
-	r := &pb.DomainReport{ConfigVersion: version, Fencing: o.fencing, Slot: int32(o.slot), Complete: d.settled()}
+	r := &pb.DomainReport{ConfigVersion: version, Complete: d.settled()}
 	if len(d.catalog.missing(nil)) > 0 {
 		r.ConfigVersion = 0 // asks for everything
 	}
 	if x.domain == d.o.Domain {
 		r.Silent = d.silentForSibling()
 	}
-	r.Progress = []*pb.DomainProgress{d.ownProgress()}
+	progress := d.ownProgress()
 	d.mu.Lock()
 	linked := d.linkedLocked()
 	d.mu.Unlock()
@@ -238,8 +241,12 @@
 	if x.first {
 		x.first = false
 		r.Domain, r.Distributor, r.Address = d.o.Domain, d.o.Name, d.o.Address
+		r.Fencing, r.Slot = o.fencing, int32(o.slot)
 		r.LinkedChanged = true
 	}
+	if x.toldProgress == nil || !proto.Equal(progress, x.toldProgress) {
+		r.Progress, x.toldProgress = []*pb.DomainProgress{progress}, progress
+	}
 	if r.GetLinkedChanged() || !slices.Equal(linked, x.toldLinked) {
 		r.Linked, r.LinkedChanged, x.toldLinked = linked, true, linked
 	}
@@ -290,7 +297,7 @@
 	}
 	d.raiseFleet(r.GetConfigVersion())
 	d.spread(r.GetRecords(), x)
-	d.noteProgress(x.domain, r.GetProgress())
+	d.noteProgress(x, r.GetProgress())
 	if x.domain == d.o.Domain {
 		d.noteSilent(r.GetSilent())
 	} else if r.GetComplete() {
--- a/pkg/domain/feed.go
+++ b/pkg/domain/feed.go
@@ -41,6 +41,10 @@
 	covers     map[uint64]uint64    // subscription that a report carried; guarded by Member.mu
 	sent       map[recordKey]*pb.Record
 	subscribed uint64
+	// What the distributor was told last.
+	toldVersion uint64
+	toldDigest  uint64
+	toldPrimary bool
 }
 
 // run joins the distributor and is fed until the stream ends.
@@ -113,8 +117,16 @@
 	snapshot := m.Snapshot()
 	f.sequence++
 	r := &pb.MemberReport{
-		Sequence: f.sequence, ConfigVersion: snapshot.Version(), RecordsDigest: m.table.Digest(m.wanted),
-		WantAll: m.primary == f.address, WantFull: f.wantFull, Leaving: m.leaving, WantProgress: f.asked,
+		Sequence: f.sequence, WantFull: f.wantFull, Leaving: m.leaving, WantProgress: f.asked,
+	}
+	if version := snapshot.Version(); version != f.toldVersion {
+		r.ConfigVersion, f.toldVersion = version, version
+	}
+	if digest := m.table.Digest(m.wanted); digest != f.toldDigest {
+		r.RecordsDigest, f.toldDigest = digest, digest
+	}
+	if primary := m.primary == f.address; primary != f.toldPrimary {
+		r.WantAll, r.WantAllChanged, f.toldPrimary = primary, true, primary
 	}
 	if known := m.known.Load(); known > snapshot.Version() {
 		r.KnownVersion = known
@@ -178,7 +190,10 @@
 	if !f.live {
 		eventFeedJoined.Log(m.o.Logger, zap.String("distributor", f.address), zap.Int32("slot", u.GetSlot()))
 	}
-	f.live, f.heardAt, f.slot, f.fencing = true, time.Now(), u.GetSlot(), u.GetFencing()
+	f.live, f.heardAt = true, time.Now()
+	if u.GetOfficeChanged() {
+		f.slot, f.fencing = u.GetSlot(), u.GetFencing()
+	}
 	f.version = max(f.version, u.GetFleetVersion())
 	if sent, ok := f.sentAt[u.GetReportSequence()]; ok && u.GetLeaseMs() > 0 {
 		m.extendLease(sent.Add(time.Duration(u.GetLeaseMs()) * time.Millisecond))
--- a/pkg/domain/liveness.go
+++ b/pkg/domain/liveness.go
@@ -111,7 +111,7 @@
 	if ms.session != s {
 		return false
 	}
-	ms.heard, ms.version, ms.left = time.Now(), r.GetConfigVersion(), r.GetLeaving()
+	ms.heard, ms.version, ms.left = time.Now(), s.told(r.GetConfigVersion()), r.GetLeaving()
 	ms.silentSince, ms.heldBack = time.Time{}, time.Time{}
 	ms.lost, ms.vouched, ms.departed = false, false, false
 	if d.Held() {
--- a/pkg/domain/peers.go
+++ b/pkg/domain/peers.go
@@ -27,12 +27,11 @@
 
 // otherDomain is another failure domain.
 type otherDomain struct {
-	goneAt     time.Time
-	lost       bool
-	complete   bool
-	progress   *pb.DomainProgress
-	progressAt time.Time
-	toldAt     time.Time
+	goneAt   time.Time
+	lost     bool
+	complete bool
+	reports  map[string]*progressReport // by distributor
+	toldAt   time.Time
 }
 
 // knowOthers takes the addresses of distributors. A complete list also removes
@@ -125,7 +124,7 @@
 func (d *Distributor) domainLocked(name string) *otherDomain {
 	od := d.domains[name]
 	if od == nil {
-		od = &otherDomain{}
+		od = &otherDomain{reports: map[string]*progressReport{}}
 		d.domains[name] = od
 	}
 	return od
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -41,18 +41,44 @@
 	return p
 }
 
-func (d *Distributor) noteProgress(domain string, reports []*pb.DomainProgress) {
-	if domain == d.o.Domain {
-		return
-	}
+// progressReport is what one distributor of another domain said last.
+type progressReport struct {
+	progress *pb.DomainProgress
+	at       time.Time
+}
+
+func (d *Distributor) noteProgress(x *exchange, reports []*pb.DomainProgress) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if x.domain == d.o.Domain {
+		return
+	}
+	od := d.domainLocked(x.domain)
 	for _, p := range reports {
-		if p.GetDomain() == domain {
-			od := d.domainLocked(domain)
-			od.progress, od.progressAt = p, time.Now()
+		od.reports[x.address] = &progressReport{progress: p}
+	}
+	if r := od.reports[x.address]; r != nil {
+		r.at = time.Now() // a report without progress confirms the last one
+	}
+}
+
+// latest returns the progress of the domain: of the recent reports the one
+// that is furthest, since a distributor cut off from its member daemons knows
+// less; without recent ones the last.
+func (od *otherDomain) latest(now time.Time) *progressReport {
+	var best *progressReport
+	for _, r := range od.reports {
+		recent := now.Sub(r.at) <= progressKeep
+		switch {
+		case best == nil, recent && now.Sub(best.at) > progressKeep:
+			best = r
+		case recent && r.progress.GetVersion() > best.progress.GetVersion():
+			best = r
+		case !recent && r.at.After(best.at):
+			best = r
 		}
 	}
+	return best
 }
 
 // Progress returns, for each known domain, the lowest version in force and the
@@ -61,14 +87,15 @@
 	own := d.ownProgress()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	all := []*pb.DomainProgress{own}
 	for name, od := range d.domains {
-		p := &pb.DomainProgress{Domain: name, AgeMs: time.Since(d.started).Milliseconds()}
-		if od.progress != nil {
+		p := &pb.DomainProgress{Domain: name, AgeMs: now.Sub(d.started).Milliseconds()}
+		if r := od.latest(now); r != nil {
 			p = &pb.DomainProgress{
-				Domain: name, Version: od.progress.GetVersion(), Members: od.progress.GetMembers(),
-				Behind: od.progress.GetBehind(), BehindNames: od.progress.GetBehindNames(),
-				AgeMs: time.Since(od.progressAt).Milliseconds(),
+				Domain: name, Version: r.progress.GetVersion(), Members: r.progress.GetMembers(),
+				Behind: r.progress.GetBehind(), BehindNames: r.progress.GetBehindNames(),
+				AgeMs: now.Sub(r.at).Milliseconds(),
 			}
 		}
 		all = append(all, p)
--- a/pkg/domain/session.go
+++ b/pkg/domain/session.go
@@ -55,7 +55,12 @@
 	mismatches   int
 	repairAt     time.Time
 	repairWait   time.Duration
-	told         string // distributors and successors told last
+	digest       uint64 // of the member daemon's records
+	complete     bool   // it was told that its endpoint set is complete
+	// What the member daemon was told last.
+	toldPeers  string // distributors and successors
+	toldOffice *office
+	toldFleet  uint64
 }
 
 // join serves the stream of one member daemon.
@@ -161,14 +166,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	everything := r.GetWantAll() && !s.all
-	s.all = r.GetWantAll()
+	everything := false
+	if r.GetWantAllChanged() {
+		everything = r.GetWantAll() && !s.all
+		s.all = r.GetWantAll()
+	}
 	if r.GetSubscriptionsChanged() {
 		s.subscribed, s.services = r.GetSubscriptions(), map[string]bool{}
 		for _, service := range s.subscribed {
 			s.services[service] = true
 		}
 		everything = everything || s.all
+		s.complete = false
 	}
 	if r.GetFirst() || r.GetWantFull() {
 		clear(s.held)
@@ -178,7 +187,7 @@
 	}
 	s.wantFull = s.wantFull || r.GetWantFull()
 	s.wantProgress = s.wantProgress || r.GetWantProgress()
-	s.noteVersionLocked(r.GetConfigVersion())
+	s.noteVersionLocked(max(s.version, r.GetConfigVersion()))
 	if s.mismatchLocked(r) || everything {
 		s.queueAllLocked()
 	}
@@ -186,6 +195,14 @@
 	notify(s.wake)
 }
 
+// told returns the version in force at the member daemon, which a report gives
+// only when it changed.
+func (s *session) told(version uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.version, version)
+}
+
 func (s *session) noteVersionLocked(version uint64) {
 	s.version = version
 	switch {
@@ -199,7 +216,10 @@
 // mismatchLocked reports whether the member daemon's records have differed for
 // several reports, so that they are to be sent again.
 func (s *session) mismatchLocked(r *pb.MemberReport) bool {
-	if r.GetFirst() || r.GetRecordsDigest() == s.d.table.Digest(s.subscribed) {
+	if r.GetRecordsDigest() != 0 {
+		s.digest = r.GetRecordsDigest()
+	}
+	if r.GetFirst() || s.digest == s.d.table.Digest(s.subscribed) {
 		s.mismatches = 0
 		return false
 	}
@@ -277,16 +297,25 @@
 func (s *session) update() *pb.FeedUpdate {
 	d := s.d
 	o := d.office.Load()
-	u := &pb.FeedUpdate{Fencing: o.fencing, Slot: int32(o.slot), FleetVersion: d.fleet.Load()}
+	u := &pb.FeedUpdate{}
 	settled := d.settled()
 	distributors, successors, addresses := d.tell()
 	progress := s.askedProgress()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u.Progress = progress
-	u.Primary, u.ReportSequence, u.MinimumIncarnation = s.all, s.acknowledge, s.minimum
-	u.Complete = s.all && settled
+	u.ReportSequence, u.MinimumIncarnation = s.acknowledge, s.minimum
 	s.minimum = 0
+	if s.all && settled && !s.complete {
+		u.Complete, s.complete = true, true
+	}
+	if o != s.toldOffice {
+		u.Primary, u.OfficeChanged, u.Fencing, u.Slot = s.all, true, o.fencing, int32(o.slot)
+		s.toldOffice = o
+	}
+	if fleet := d.fleet.Load(); fleet != s.toldFleet {
+		u.FleetVersion, s.toldFleet = fleet, fleet
+	}
 	if s.leased {
 		u.LeaseMs = membershipLease.Milliseconds()
 	}
@@ -297,8 +326,8 @@
 	s.urgent = false
 	u.Config = s.configLocked()
 	told := strings.Join(slices.Concat(distributors, successors, addresses), " ")
-	if told != s.told {
-		s.told = told
+	if told != s.toldPeers {
+		s.toldPeers = told
 		u.Distributors, u.Successors, u.SuccessorAddresses = distributors, successors, addresses
 	}
 	return u
--- a/pkg/domain/table.go
+++ b/pkg/domain/table.go
@@ -237,7 +237,8 @@
 }
 
 // Digest combines the digests of the given services. Equal digests mean that
-// two tables hold the same distributed records of them.
+// two tables hold the same distributed records of them. It is never 0, which
+// stands for "not told" in messages.
 func (t *Table) Digest(services []string) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -247,7 +248,7 @@
 			digest ^= s.digest
 		}
 	}
-	return digest
+	return max(digest, 1)
 }
 
 // Changes returns a channel that gets a value after records of the given
