--- a/pkg/move/merge.go
+++ b/pkg/move/merge.go
@@ -92,23 +92,22 @@
 }
 
 func largest(pairs map[sourceKey]*sumPair) []Sum {
-	best := map[sourceKey]Sum{}
+	best := map[sourceKey]*sumPair{}
 	for key, p := range pairs {
 		if p.from == nil || p.to == nil || p.from.counter != p.to.counter || p.from.incarnation != p.to.incarnation {
 			continue
 		}
-		sum := Sum{
-			Route: key.route, Domain: key.domain, Idempotent: p.to.evidence.GetIdempotent(),
-			Old: p.from.counts, New: p.to.counts,
-		}
 		key.owner = ""
-		if held, ok := best[key]; !ok || sum.attempts() > held.attempts() {
-			best[key] = sum
+		if held, ok := best[key]; !ok || p.better(held) {
+			best[key] = p
 		}
 	}
 	sums := make([]Sum, 0, len(best))
-	for _, sum := range best {
-		sums = append(sums, sum)
+	for key, p := range best {
+		sums = append(sums, Sum{
+			Route: key.route, Domain: key.domain, Idempotent: p.to.evidence.GetIdempotent(),
+			Old: p.from.counts, New: p.to.counts,
+		})
 	}
 	slices.SortFunc(sums, func(a, b Sum) int {
 		return cmp.Or(strings.Compare(a.Route, b.Route), strings.Compare(a.Domain, b.Domain))
@@ -116,4 +115,9 @@
 	return sums
 }
 
-func (s *Sum) attempts() uint64 { return s.Old.Attempts + s.New.Attempts }
+// better reports whether p holds more attempts; the owner's name decides
+// between equal ones.
+func (p *sumPair) better(held *sumPair) bool {
+	n, m := p.from.counts.Attempts+p.to.counts.Attempts, held.from.counts.Attempts+held.to.counts.Attempts
+	return n > m || (n == m && p.to.owner < held.to.owner)
+}
--- a/pkg/move/recorder.go
+++ b/pkg/move/recorder.go
@@ -43,6 +43,7 @@
 	versions   [2]string
 	cells      [2]*cell
 	sent       uint64 // attempts when last encoded
+	keys       [2]string
 }
 
 // NewRecorder returns a recorder for the calls that the daemon owner, in the
@@ -149,22 +150,28 @@
 				CallerDomain: r.domain, Idempotent: p.idempotent,
 			}
 			counts.encodeInto(e)
-			records = append(records, evidenceRecord("own", r.service, r.owner, r.incarnation, r.counter, e))
+			if p.keys[i] == "" {
+				p.keys[i] = evidenceKey(ownPrefix, r.owner, e)
+			}
+			records = append(records, evidenceRecord(p.keys[i], r.service, r.owner, r.incarnation, r.counter, e))
 		}
 	}
 	return records
 }
 
-// evidenceRecord wraps evidence of a caller ("own") or a domain ("sum").
-func evidenceRecord(level, service, owner string, incarnation, counter uint64, e *pb.Evidence) *pb.Record {
+// evidenceKey names evidence of a caller (ownPrefix) or a domain (sumPrefix).
+func evidenceKey(prefix, owner string, e *pb.Evidence) string {
+	return fmt.Sprintf("%s%s/%s/%d/%s/%s/%s", prefix, owner, e.GetMove(), e.GetGeneration(), e.GetRoute(),
+		e.GetVersion(), e.GetCallerDomain())
+}
+
+func evidenceRecord(key, service, owner string, incarnation, counter uint64, e *pb.Evidence) *pb.Record {
 	payload, err := proto.Marshal(e)
 	if err != nil {
 		panic("move: evidence cannot be encoded: " + err.Error()) // only invalid UTF-8 fails, and names are checked
 	}
 	return &pb.Record{
-		Kind: pb.RecordKind_RECORD_EVIDENCE, Service: service, Owner: owner,
-		Key: fmt.Sprintf("%s/%s/%s/%d/%s/%s/%s", level, owner, e.GetMove(), e.GetGeneration(), e.GetRoute(),
-			e.GetVersion(), e.GetCallerDomain()),
+		Kind: pb.RecordKind_RECORD_EVIDENCE, Service: service, Owner: owner, Key: key,
 		Incarnation: incarnation, Counter: counter, Payload: payload,
 	}
 }
--- a/pkg/move/sum.go
+++ b/pkg/move/sum.go
@@ -40,6 +40,7 @@
 	total      map[string]*Counts
 	callers    map[string]*callerPair
 	changed    bool
+	keys       map[string]string // record key by version
 }
 
 // callerPair is the latest report of one caller. Pending versions become
@@ -85,7 +86,7 @@
 		if !s.admit(key) {
 			return
 		}
-		pair = &domainPair{total: map[string]*Counts{}, callers: map[string]*callerPair{}}
+		pair = &domainPair{total: map[string]*Counts{}, callers: map[string]*callerPair{}, keys: map[string]string{}}
 		s.pairs[key] = pair
 	}
 	pair.idempotent = e.GetIdempotent()
@@ -168,7 +169,10 @@
 				CallerDomain: s.domain, Idempotent: pair.idempotent,
 			}
 			pair.total[version].encodeInto(e)
-			records = append(records, evidenceRecord("sum", key.service, s.distributor, s.incarnation, s.counter, e))
+			if pair.keys[version] == "" {
+				pair.keys[version] = evidenceKey(sumPrefix, s.distributor, e)
+			}
+			records = append(records, evidenceRecord(pair.keys[version], key.service, s.distributor, s.incarnation, s.counter, e))
 		}
 	}
 	return records
--- a/test/measure/move/measure_test.go
+++ b/test/measure/move/measure_test.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"runtime/debug"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -13,6 +14,7 @@
 	if !report.Full() {
 		t.Skip("runs in make measure")
 	}
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // many small runs: less time in collections
 	MeasureCells(t, seedsPerCell)
 	MeasureOutages(t, seedsPerCell)
 	MeasureBaselines(t, seedsPerCell)
