--- a/pkg/route/routetest/target.go
+++ b/pkg/route/routetest/target.go
@@ -29,7 +29,7 @@
 type Result struct {
 	Head *pb.AnswerHead
 	Body []byte
-	// Cut ends the stream without the end frame, after the head frame.
+	// Cut ends the stream after half of the body, without the end frame.
 	Cut bool
 	// Drop ends the stream before the head frame.
 	Drop bool
@@ -77,6 +77,9 @@
 		return errCut
 	}
 	head, body := r.Head, r.Body
+	if r.Cut {
+		body = body[:len(body)/2]
+	}
 	for {
 		part := body[:min(len(body), frameBytes)]
 		body = body[len(part):]
