Move non-idempotent routes along when idempotent ones bring no traffic

Cause: in make demo the move of the order desk stayed at 33% and went late with "0 of 8 attempts that the step needs": its idempotent route has no calls, and the orders follow one step behind it. The rule looked at the declared routes and not at the traffic.

Change: idempotent routes go first only if they bring at least 5% of the attempts.

--- a/pkg/move/controller_test.go
+++ b/pkg/move/controller_test.go
@@ -18,20 +18,21 @@
 
 // rig is a service under traffic with one caller, driven second by second.
 type rig struct {
-	t        *testing.T
-	now      time.Time
-	table    *movetest.Table
-	services *movetest.Services
-	store    *standin.Store
-	bundle   *config.Bundle
-	chooser  *Chooser
-	recorder *Recorder
-	sum      *DomainSum
-	bad      bool // the new version fails
-	lease    bool
-	c        *Controller
-	top      float64 // largest share seen
-	carry    float64
+	t          *testing.T
+	now        time.Time
+	table      *movetest.Table
+	services   *movetest.Services
+	store      *standin.Store
+	bundle     *config.Bundle
+	chooser    *Chooser
+	recorder   *Recorder
+	sum        *DomainSum
+	ordersOnly bool // no call comes on the idempotent route
+	bad        bool // the new version fails
+	lease      bool
+	c          *Controller
+	top        float64 // largest share seen
+	carry      float64
 }
 
 func newRig(t *testing.T) *rig {
@@ -81,7 +82,7 @@
 	r.recorder.Update(r.bundle, r.chooser.Active("orders"))
 	for i := range 100 {
 		route, idempotent := "look-up", true
-		if i%4 == 0 {
+		if i%4 == 0 || r.ordersOnly {
 			route, idempotent = "order", false
 		}
 		r.carry += 0.381966 // low-discrepancy points, so that the run is the same each time
@@ -127,6 +128,16 @@
 	return record
 }
 
+// TestMoveWithoutIdempotentTraffic guards against a move that waits for evidence
+// of an idempotent route on which no call comes.
+func TestMoveWithoutIdempotentTraffic(t *testing.T) {
+	r := newRig(t)
+	r.ordersOnly = true
+	r.run(20*time.Minute, func() bool { return r.state() == StateDone })
+	record := r.recorded()
+	assert.Assert(t, !record.Stage.Full.After(record.By))
+}
+
 // TestGoodVersionIsDoneInTime guards against a move that ends without a record,
 // or late.
 func TestGoodVersionIsDoneInTime(t *testing.T) {
--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -114,13 +114,19 @@
 	return next
 }
 
+// hasIdempotent reports whether idempotent routes bring enough attempts to go
+// first. A route without traffic would bring no evidence, and the move would
+// wait for it beyond its set time.
 func (j *Judge) hasIdempotent() bool {
-	for _, idempotent := range j.plan.Routes {
-		if idempotent {
-			return true
+	var idempotent, all uint64
+	for name, t := range j.totals {
+		n := t.Old.Attempts + t.New.Attempts
+		all += n
+		if j.plan.Routes[name] {
+			idempotent += n
 		}
 	}
-	return false
+	return float64(idempotent) >= leadingTraffic*float64(all) && idempotent > 0
 }
 
 // obstacle says what stands against the next step, nothing if it is allowed.
--- a/pkg/move/schedule.go
+++ b/pkg/move/schedule.go
@@ -23,6 +23,9 @@
 	loadGrowth    = 1.3
 	smallestRaise = 1.05
 	nearlyAll     = 0.85 // a bound from here on is taken for the last step
+	// leadingTraffic is the part of the attempts that idempotent routes must
+	// bring to be moved ahead of the others.
+	leadingTraffic = 0.05
 	// surge is the growth of traffic from which a share is spread. The ratio of
 	// two rates of planAttempts attempts has a standard deviation of 0.14.
 	surge = 1.6
