Decode each bundle once on a distributor and collect unused blobs

Cause: the rollout controllers of four shards decoded and hashed every bundle each second, and unused blobs were never removed from the store.

Change: the catalog keeps decoded bundles by digest; the holder of rollout shard 0 runs the blob collector every 10 minutes.

--- a/pkg/daemon/events.go
+++ b/pkg/daemon/events.go
@@ -23,6 +23,8 @@
 		"The services that the own target needs cannot be subscribed to yet; it is tried again.")
 	eventPushFailed = telemetry.NewEvent(1007, "push_failed", zapcore.WarnLevel,
 		"A distributor could not be told of a newly accepted version; it learns it from the store.")
+	eventCollectFailed = telemetry.NewEvent(1009, "collect_failed", zapcore.WarnLevel,
+		"Unused blobs could not be removed from the store; it is tried again.")
 	eventControllerFailed = telemetry.NewEvent(1008, "controller_failed", zapcore.WarnLevel,
 		"A rollout controller ended with an error; its lease is contended for again.")
 )
--- a/pkg/daemon/rollout.go
+++ b/pkg/daemon/rollout.go
@@ -6,9 +6,11 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
+	"nutmegstand.example/nutmegstand/pkg/accept"
 	"nutmegstand.example/nutmegstand/pkg/config"
 	"nutmegstand.example/nutmegstand/pkg/domain"
 	"nutmegstand.example/nutmegstand/pkg/lease"
@@ -16,6 +18,30 @@
 	"nutmegstand.example/nutmegstand/pkg/pb"
 )
 
+const (
+	// collectorShard is the shard whose controller also removes unused blobs,
+	// since one collector for all domains is enough.
+	collectorShard  = 0
+	collectInterval = 10 * time.Minute
+)
+
+// collect removes unused blobs from the store while the lease is held.
+func (d *Daemon) collect(ctx context.Context) {
+	collector := accept.NewCollector(d.acceptor)
+	ticker := time.NewTicker(collectInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, err := collector.Step(ctx); err != nil {
+			eventCollectFailed.Log(d.logger, zap.Error(err))
+		}
+	}
+}
+
 // rolloutServices gives a distributor's view to the rollout controllers.
 type rolloutServices struct{ distributor *domain.Distributor }
 
@@ -73,6 +99,9 @@
 			LeaseValid: func() bool { return held.Err() == nil },
 			Spawn:      d.spawn,
 		})
+		if shard == collectorShard {
+			_ = d.tasks.Submit(func() { d.collect(held) }) // a full pool leaves it to the next holder
+		}
 		if err := controller.Run(held, fencing, shard); err != nil {
 			eventControllerFailed.Log(d.logger, zap.Int("shard", shard), zap.Error(err))
 		}
--- a/pkg/domain/catalog.go
+++ b/pkg/domain/catalog.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -18,13 +19,14 @@
 	mu       sync.Mutex
 	manifest *config.Manifest
 	content  map[string][]byte
+	decoded  map[string]*config.Bundle // by digest; rollout controllers ask every second
 	history  map[uint64]*config.Manifest
 	deltas   map[uint64]*pb.ConfigDelta // to the current version, by base
 }
 
 func newCatalog() *catalog {
 	return &catalog{
-		content: map[string][]byte{}, history: map[uint64]*config.Manifest{},
+		content: map[string][]byte{}, decoded: map[string]*config.Bundle{}, history: map[uint64]*config.Manifest{},
 		deltas: map[uint64]*pb.ConfigDelta{},
 	}
 }
@@ -129,6 +131,7 @@
 		}
 	}
 	c.content = next
+	maps.DeleteFunc(c.decoded, func(digest string, _ *config.Bundle) bool { return next[digest] == nil })
 }
 
 // missing returns the digests of the manifest whose content is not held. With
@@ -224,9 +227,13 @@
 	if !ok {
 		return nil
 	}
+	if b, ok := c.decoded[e.Digest]; ok {
+		return b
+	}
 	b, err := config.DecodeBundle(c.content[e.Digest], e.Digest)
 	if err != nil {
 		return nil
 	}
+	c.decoded[e.Digest] = b
 	return b
 }
