--- a/pkg/domain/distributor.go
+++ b/pkg/domain/distributor.go
@@ -136,7 +136,7 @@
 func (d *Distributor) Table() *Table { return d.table }
 
 // Records returns the records of one kind of a service. Evidence records are
-// the sums of the domains; see Evidence.
+// the sums of the domains.
 func (d *Distributor) Records(kind pb.RecordKind, service string) []*pb.Record {
 	return d.table.Records(kind, service)
 }
