Send deltas from the version sent last, and keep stream buffers small

A version accepted within a second of another took 2 to 3 s: the delta was built from the version last reported, which the member daemon no longer had, and it was sent again only after 2 s. Deltas now start from the version sent last on the ordered stream; a delta that was overtaken makes the member daemon report at once, and distributors tell one another of versions at once.

link: frames and kept buffers of open streams are limited to 8 KB. Joining daemons are given the records of their services without a scan of all records.

--- a/pkg/domain/distributor.go
+++ b/pkg/domain/distributor.go
@@ -63,7 +63,7 @@
 	d.siblings.goneAt = d.started
 	d.catalog.seed(m.Snapshot())
 	d.raiseFleet(d.catalog.version())
-	d.spread(m.table.distributedRecords(nil), nil)
+	d.spread(m.table.allDistributed(), nil)
 	d.seedEntries()
 	return d
 }
--- a/pkg/domain/exchange.go
+++ b/pkg/domain/exchange.go
@@ -41,6 +41,7 @@
 	behindSince  time.Time
 	atOnce       bool // send the newest version without delay
 	sentVersion  uint64
+	sentBase     uint64
 	sentAt       time.Time
 	wantFull     bool
 	linked       []string             // domains that the other distributor reaches
@@ -180,14 +181,13 @@
 	}
 }
 
-// noteVersion notes that this distributor has a newer version.
+// noteVersion tells the other distributor of a newer version here, so that it
+// sends later versions from the right base.
 func (x *exchange) noteVersion(atOnce bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.atOnce = x.atOnce || atOnce
-	if atOnce {
-		notify(x.wake)
-	}
+	notify(x.wake)
 }
 
 func (x *exchange) send(ctx context.Context) {
@@ -217,7 +217,7 @@
 			return false
 		}
 	}
-	return !x.atOnce
+	return len(x.pending) > 0 && !x.atOnce
 }
 
 // report builds the next report.
@@ -279,7 +279,7 @@
 	if err != nil {
 		return nil // incomplete here too
 	}
-	x.sentVersion, x.sentAt = version, now
+	x.sentVersion, x.sentBase, x.sentAt = version, delta.GetBaseVersion(), now
 	return delta
 }
 
@@ -292,7 +292,9 @@
 			d.versionGrew(false)
 		}
 		x.mu.Lock()
-		x.wantFull = err != nil && r.GetConfig().GetVersion() > d.catalog.version()
+		if x.wantFull = err != nil && r.GetConfig().GetVersion() > d.catalog.version(); x.wantFull {
+			notify(x.wake)
+		}
 		x.mu.Unlock()
 	}
 	d.raiseFleet(r.GetConfigVersion())
@@ -312,6 +314,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.version = r.GetConfigVersion()
+	if x.version == 0 && x.sentVersion == version && x.sentBase != 0 {
+		// The delta did not fit; the whole version is asked for.
+		x.sentVersion, x.atOnce = 0, true
+		notify(x.wake)
+	}
 	switch {
 	case x.version >= version:
 		x.behindSince = time.Time{}
--- a/pkg/domain/member.go
+++ b/pkg/domain/member.go
@@ -223,7 +223,11 @@
 		return false
 	}
 	if base := delta.GetBaseVersion(); base != 0 && base < held.Version() {
-		return false // overtaken by the other distributor; the next report says so
+		// Overtaken by the other distributor: the report tells the version held.
+		for _, f := range m.feeds {
+			notify(f.wake)
+		}
+		return false
 	}
 	next, err := held.Next(delta, m.coveredLocked(held, delta))
 	if err != nil {
--- a/pkg/domain/session.go
+++ b/pkg/domain/session.go
@@ -48,6 +48,7 @@
 	version      uint64
 	behindSince  time.Time
 	sentVersion  uint64
+	sentBase     uint64
 	sentAt       time.Time
 	wantFull     bool
 	wantProgress bool
@@ -357,11 +358,16 @@
 	if !s.all && !s.wantFull && !late {
 		return nil
 	}
-	sent := s.sentVersion == version && now.Sub(s.sentAt) < resendDelay
+	sent := s.sentVersion == version && s.sentBase >= s.version && now.Sub(s.sentAt) < resendDelay
 	if version > s.version && sent && !s.wantFull {
 		return nil
 	}
-	base := s.version
+	// The stream is ordered, so the member daemon has what was sent before,
+	// although its next report is still to come.
+	base := max(s.version, s.sentVersion)
+	if s.sentVersion == version {
+		base = s.version
+	}
 	if s.wantFull {
 		base = 0
 	}
@@ -377,6 +383,6 @@
 		s.held[digest] = true
 	}
 	s.wantFull = false
-	s.sentVersion, s.sentAt = version, now
+	s.sentVersion, s.sentBase, s.sentAt = version, base, now
 	return delta
 }
--- a/pkg/domain/tablescan.go
+++ b/pkg/domain/tablescan.go
@@ -1,19 +1,33 @@
 package domain
 
 import (
-	"slices"
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/pb"
 )
 
-// distributedRecords returns the records that subscribers of the services get;
-// with no services, those of all.
+// distributedRecords returns the records that subscribers of the services get.
 func (t *Table) distributedRecords(services []string) []*pb.Record {
-	return t.selectRecords(func(e *entry) bool {
-		return distributed(e.record.GetKind()) &&
-			(services == nil || slices.Contains(services, e.record.GetService()))
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var records []*pb.Record
+	for _, service := range services {
+		s := t.services[service]
+		if s == nil {
+			continue
+		}
+		for key, e := range s.entries {
+			if distributed(key.kind) {
+				records = append(records, e.record)
+			}
+		}
+	}
+	return records
+}
+
+// allDistributed returns the distributed records of every service.
+func (t *Table) allDistributed() []*pb.Record {
+	return t.selectRecords(func(e *entry) bool { return distributed(e.record.GetKind()) })
 }
 
 // ownedEndpoints returns the endpoint records of one daemon.
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"nutmegstand.example/nutmegstand/pkg/pb"
@@ -35,6 +36,10 @@
 	// softCancelGrace lets a concurrent send finish before a cancelled stream
 	// closes its connection.
 	softCancelGrace = 5 * time.Millisecond
+	// keepBufferBytes is the size of the frames and of the largest buffer that an
+	// open stream keeps. A distributor has hundreds of streams whose first
+	// message is 20 KB or more and whose later ones are tens of bytes.
+	keepBufferBytes = 8 << 10
 	// maxMessageBytes bounds one drpc message; bodies are sent in smaller frames.
 	maxMessageBytes = 4 << 20
 )
@@ -65,6 +70,7 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:          drpcstream.Options{SplitSize: keepBufferBytes, MaximumBufferSize: keepBufferBytes},
 		SoftCancel:      true,
 		SoftCancelGrace: softCancelGrace,
 	}
