--- a/pkg/move/caution.go
+++ b/pkg/move/caution.go
@@ -20,7 +20,8 @@
 	MinDwell, MaxDwell time.Duration
 	// Hold is the time for which old targets are kept after the last step.
 	Hold time.Duration
-	// Suspicion is the e-value at which no further step is taken.
+	// Suspicion is the e-value at which no further step is taken. At most 1 in
+	// Suspicion good versions is delayed by it.
 	Suspicion float64
 	// LatencyTolerance is the slowdown, in buckets, that is not a fault.
 	LatencyTolerance int
@@ -40,7 +41,7 @@
 	case config.CautionHigh:
 		return CautionSettings{
 			FalseAlarmRate: 0.004, MinEvidence: 20, GoodEvidence: 100, MinDwell: 30 * time.Second, MaxDwell: 10 * time.Minute,
-			Hold: 5 * time.Minute, Suspicion: 8, LatencyTolerance: 2,
+			Hold: 5 * time.Minute, Suspicion: 20, LatencyTolerance: 2,
 		}
 	default:
 		return CautionSettings{
