--- a/test/measure/route/path.go
+++ b/test/measure/route/path.go
@@ -143,6 +143,7 @@
 	tb.Cleanup(func() { _ = peers.Close() })
 	options := p.Options(route.NewMeshSender(peers), "a")
 	options.Logger = fileLogger(tb, logged)
+	options.Versions = discardAttempts{&p.Versions}
 	router, err := route.New(options)
 	if err != nil {
 		tb.Fatalf("router: %v", err)
