--- a/pkg/target/httpbackend_test.go
+++ b/pkg/target/httpbackend_test.go
@@ -109,6 +109,26 @@
 	assert.Equal(t, raw.requests.Load(), int32(len(cuts)), "a request was sent again")
 }
 
+// TestNoSecondSend guards against a request that is sent again on a new
+// connection: hertz does so for GET, PUT and DELETE on a reused connection.
+func TestNoSecondSend(t *testing.T) {
+	raw := startRawTarget(t, func(conn net.Conn, path string) {
+		if path == "/none" {
+			_ = conn.Close()
+			return
+		}
+		_, _ = conn.Write([]byte(whole(path)))
+	})
+	backend := raw.backend(t, 1, 1)
+	_, err := exchange(context.Background(), backend, "/whole")
+	assert.NilError(t, err)
+	_, err = exchange(context.Background(), backend, "/none")
+	var cut *CutError
+	assert.Assert(t, errors.As(err, &cut) && cut.Reset, "error %v", err)
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, raw.requests.Load(), int32(2), "the request was sent again")
+}
+
 // TestWholeAnswers guards against rejecting an answer that is whole.
 func TestWholeAnswers(t *testing.T) {
 	answers := map[string]string{
--- a/pkg/target/suspects_test.go
+++ b/pkg/target/suspects_test.go
@@ -213,6 +213,7 @@
 func TestResetIsNoCrash(t *testing.T) {
 	virtual(t, func(t *testing.T) {
 		script := slow(20 * time.Millisecond)
+		script.Restart = time.Second
 		script.Resets = func(r *target.Request) bool { return r.Head.GetPath() == "/reset" }
 		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Script: script})
 		answer, _ := d.Gate.Do(context.Background(), faketarget.Call("c", "/reset", time.Second), nil)
