Feed a domain without waiting for a lease

Cause: a domain that lost both distributors, or restarted as a whole, had no version in force until a contender had waited out the lease term of 6 s and its jitter.

Change: feeding is safe without a lease, so named successors act as distributors as soon as a domain has none, also while the store answers; after a restart of a whole domain, a daemon that a lease still names does so. Membership leases still need a holder.

--- a/pkg/domain/doc.go
+++ b/pkg/domain/doc.go
@@ -52,11 +52,12 @@
 	// aloneLimit is how long a distributor must have missed the other one
 	// before it declares a daemon departed without the other's agreement.
 	aloneLimit = 10 * time.Second
-	// actingAfter is how long a daemon is without distributors, with the store
-	// unavailable, before it dials the successors; a successor accepts streams
-	// slightly earlier.
-	actingAfter       = 10 * time.Second
-	actingAcceptAfter = 8 * time.Second
+	// actingAfter is how long a daemon is without distributors before it dials
+	// the successors; a successor accepts streams slightly earlier. Waiting for
+	// a lease alone took 9.8 s until a version was in force in a domain that
+	// lost both distributors.
+	actingAfter       = 500 * time.Millisecond
+	actingAcceptAfter = 0
 	// watchWait is the length of one long poll of the head.
 	watchWait = 30 * time.Second
 	// storeTimeout bounds one store call; a slow store takes 5 s to answer.
--- a/pkg/domain/memberrun.go
+++ b/pkg/domain/memberrun.go
@@ -113,10 +113,10 @@
 	}
 }
 
-// desiredLocked returns the distributors to be connected to. Without any, and
-// without the store, the successors are tried in order.
+// desiredLocked returns the distributors to be connected to. Without any, the
+// successors are tried in order.
 func (m *Member) desiredLocked(now time.Time) []string {
-	if late := now.Sub(m.alone) - actingAfter; m.liveLocked() == 0 && late > 0 && !m.storeDown.IsZero() {
+	if late := now.Sub(m.alone) - actingAfter; m.liveLocked() == 0 && late > 0 {
 		count := min(len(m.successors), 1+int(late/nextSuccessorAfter))
 		return append(slices.Clone(m.distributors), m.successors[:count]...)
 	}
@@ -253,10 +253,12 @@
 	}
 	m.entries = map[string][]string{}
 	var own []string
+	m.listed = false
 	for _, e := range found.leases {
 		m.entries[e.domain] = append(m.entries[e.domain], e.record.Address)
 		if e.domain == m.o.Domain {
 			own = append(own, e.record.Address)
+			m.listed = m.listed || e.record.Address == m.o.Address
 		}
 	}
 	if m.liveLocked() == 0 {
--- a/pkg/domain/server.go
+++ b/pkg/domain/server.go
@@ -46,8 +46,9 @@
 // Distributor returns the distributor's role of this daemon, or nil.
 func (s *Server) Distributor() *Distributor { return s.current.Load() }
 
-// Join implements pb.DRPCMeshServer. A named successor accepts streams without
-// a lease when the domain has no distributor and the store is unavailable.
+// Join implements pb.DRPCMeshServer. When the domain has no distributor, a named
+// successor accepts streams without a lease, and so does a restarted daemon that
+// a lease still names: feeding needs no lease, and its term need not be awaited.
 func (s *Server) Join(stream pb.DRPCMesh_JoinStream) error {
 	d := s.current.Load()
 	if d == nil && s.mayAct() {
@@ -261,8 +262,8 @@
 	m := s.member
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Contains(m.successorName, s.o.Name) && m.liveLocked() == 0 &&
-		!m.storeDown.IsZero() && time.Since(m.alone) > actingAcceptAfter
+	return (m.listed || slices.Contains(m.successorName, s.o.Name)) && m.liveLocked() == 0 &&
+		time.Since(m.alone) > actingAcceptAfter
 }
 
 // endActing ends an acting role once a distributor with a lease is connected.
--- a/test/measure/domain/convergence.go
+++ b/test/measure/domain/convergence.go
@@ -39,10 +39,10 @@
 		{"store fails after accept", storeFails},
 		{"store takes 5 s", storeSlow},
 		{"distributor vanishes", distributorVanishes},
-		{"both distributors vanish, from the new distributor", bothVanish},
+		{"both distributors vanish", bothVanish},
 		{"domain cut off, from its return", domainReturns},
 		{"mass restart beside working distributors", massRestart},
-		{"everything restarts, from the new distributor", wholeRestart},
+		{"everything restarts", wholeRestart},
 	}
 }
 
@@ -155,29 +155,15 @@
 	return nodes
 }
 
-// bothVanish counts a domain's daemons from the moment at which a new
-// distributor works there; no path reaches them before. The whole time is
-// emitted without a bound.
+// bothVanish accepts a version when a domain has just lost both distributors.
 func bothVanish(t *testing.T, f *domaintest.Fleet) []time.Duration {
-	gone, plain := f.Distributors(0)
+	gone, _ := f.Distributors(0)
 	for _, d := range gone {
 		d.Vanish()
 	}
 	version, since := f.Accept(anyService(f)), time.Now()
-	f.Await("a new distributor", settle, func() bool {
-		for _, n := range plain {
-			if n.Server.Distributor() != nil {
-				return true
-			}
-		}
-		return false
-	})
-	found := time.Now()
-	time.Sleep(settle)
-	whole := collect(t, plain, version, since)
-	emitTimes(t, "both distributors vanish, whole time", f.Seed(), whole, nil)
-	rest := without(f, append(gone, plain...)...)
-	return append(collect(t, rest, version, since), collect(t, plain, version, found)...)
+	time.Sleep(2 * settle)
+	return collect(t, without(f, gone...), version, since)
 }
 
 func domainReturns(t *testing.T, f *domaintest.Fleet) []time.Duration {
@@ -215,33 +201,14 @@
 	return collect(t, nodes, version, since)
 }
 
-// wholeRestart also crashes the distributors, so that no path exists until
-// their leases have ended. The whole time is emitted without a bound.
+// wholeRestart also crashes the distributors, so that nobody holds a version.
 func wholeRestart(t *testing.T, f *domaintest.Fleet) []time.Duration {
 	version := f.Accept(anyService(f))
 	time.Sleep(settle / 6)
 	since := time.Now()
 	restart(f.Nodes)
-	found := map[string]time.Time{}
-	f.Await("a distributor in each domain", settle, func() bool {
-		waiting := map[string]bool{}
-		for _, n := range f.Nodes {
-			if n.Server.Distributor() != nil && found[n.Domain].IsZero() {
-				found[n.Domain] = time.Now()
-			}
-			if found[n.Domain].IsZero() {
-				waiting[n.Domain] = true
-			}
-		}
-		return len(waiting) == 0
-	})
-	time.Sleep(settle)
-	emitTimes(t, "everything restarts, whole time", f.Seed(), collect(t, f.Nodes, version, since), nil)
-	var times []time.Duration
-	for _, n := range f.Nodes {
-		times = append(times, collect(t, []*domaintest.Node{n}, version, found[n.Domain])...)
-	}
-	return times
+	time.Sleep(2 * settle)
+	return collect(t, f.Nodes, version, since)
 }
 
 func restart(nodes []*domaintest.Node) {
