Spread member daemons over both distributors, and test silence truly

Every member daemon stayed with the distributor that came first.

The in-memory network let the far end of a vanished machine notice the closed connection, so tests of silence were weaker than they said.

--- a/pkg/domain/domaintest/network.go
+++ b/pkg/domain/domaintest/network.go
@@ -157,7 +157,7 @@
 	delete(c.n.conns[c.local], c)
 	blocked := c.n.blockedLocked(c.local, c.remote)
 	c.n.mu.Unlock()
-	c.in.abandon()
+	c.in.abandon(blocked)
 	c.out.close(blocked)
 	return nil
 }
@@ -171,11 +171,12 @@
 
 // half is one direction of a connection.
 type half struct {
-	mu      sync.Mutex
-	chunks  []chunk
-	changed chan struct{}
-	closed  bool
-	silent  bool // bytes were lost, so nothing can follow them
+	mu        sync.Mutex
+	chunks    []chunk
+	changed   chan struct{}
+	closed    bool
+	silent    bool // bytes were lost, so nothing can follow them
+	abandoned bool // the reader closed its end
 }
 
 type chunk struct {
@@ -211,11 +212,17 @@
 	h.signal()
 }
 
-// abandon ends the direction for its own reader.
-func (h *half) abandon() {
+// abandon ends the direction for its own reader. Across a cut the writer does
+// not notice.
+func (h *half) abandon(lost bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.closed, h.chunks = true, nil
+	h.abandoned, h.chunks = true, nil
+	if lost || h.silent {
+		h.silent = true
+	} else {
+		h.closed = true
+	}
 	h.signal()
 }
 
@@ -242,7 +249,7 @@
 				h.mu.Unlock()
 				return n, nil
 			}
-		} else if h.closed {
+		} else if h.closed || h.abandoned {
 			h.mu.Unlock()
 			return 0, io.EOF
 		}
--- a/pkg/domain/feed.go
+++ b/pkg/domain/feed.go
@@ -33,6 +33,7 @@
 
 	toldLeaving bool // the last report was sent
 
+	liveSince   time.Time
 	behindSince time.Time // since when the other distributor knows a newer version
 
 	// Used by the sending task only, but for sentAt.
@@ -188,6 +189,7 @@
 func (f *feed) noteLocked(u *pb.FeedUpdate) {
 	m := f.m
 	if !f.live {
+		f.liveSince = time.Now()
 		eventFeedJoined.Log(m.o.Logger, zap.String("distributor", f.address), zap.Int32("slot", u.GetSlot()))
 	}
 	f.live, f.heardAt = true, time.Now()
@@ -227,7 +229,7 @@
 // other distributor, so that a stale distributor does not feed alone.
 func (m *Member) choosePrimaryLocked() {
 	current := m.feeds[m.primary]
-	if current != nil && current.live && !m.behindLocked(current) {
+	if current != nil && current.live && !m.behindLocked(current) && !m.unbalancedLocked(current) {
 		return
 	}
 	best := ""
@@ -249,6 +251,19 @@
 	notify(m.feeds[best].wake)
 }
 
+// unbalancedLocked reports whether the other distributor has been live for a
+// while and is the one that the hash gives. Without it every daemon would stay
+// with the distributor that came first.
+func (m *Member) unbalancedLocked(current *feed) bool {
+	for _, f := range m.feeds {
+		if f != current && f.live && f.version == current.version &&
+			time.Since(f.liveSince) > settleGrace && m.prefersLocked(f, current) {
+			return true
+		}
+	}
+	return false
+}
+
 // behindLocked reports whether the distributor has lacked a version that the
 // other one knows for longer than a change takes to spread. A shorter limit
 // would change the primary, and resend all records, with every change.
--- a/pkg/domain/fleet_test.go
+++ b/pkg/domain/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/config"
 	"nutmegstand.example/nutmegstand/pkg/domain"
 	"nutmegstand.example/nutmegstand/pkg/domain/domaintest"
 	"nutmegstand.example/nutmegstand/pkg/pb"
@@ -249,6 +250,14 @@
 					}
 					return held == 2
 				})
+				f.Await("no acting distributor is left", bound, func() bool {
+					for _, n := range plain {
+						if d := n.Server.Distributor(); d != nil && d.Slot() < 0 {
+							return false
+						}
+					}
+					return true
+				})
 				f.Await("non-idempotent work may start", bound, func() bool {
 					for _, n := range plain {
 						if !n.Member.Lease().After(time.Now()) {
@@ -320,6 +329,49 @@
 	})
 }
 
+// TestHeadWentBack guards against a store that was restored from an older copy
+// and takes daemons back, also ones that restart.
+func TestHeadWentBack(t *testing.T) {
+	run(t, func(t *testing.T, f *domaintest.Fleet) {
+		old, err := f.Store.Get(t.Context(), config.HeadKey)
+		assert.NilError(t, err)
+		v := f.Accept(domaintest.ServiceName(0))
+		f.Await("in force", bound, domaintest.InForce(v, f.Nodes...))
+		now, err := f.Store.Get(t.Context(), config.HeadKey)
+		assert.NilError(t, err)
+		_, err = f.Store.Update(t.Context(), config.HeadKey, old.Value, now.Revision)
+		assert.NilError(t, err)
+		time.Sleep(40 * time.Second)
+		_, plain := f.Distributors(0)
+		plain[0].Crash()
+		plain[0].Restart()
+		f.Await("the restarted daemon is ready", bound, func() bool { return !plain[0].ReadyAt().IsZero() })
+		for _, n := range f.Nodes {
+			assert.Equal(t, n.Member.Snapshot().Version(), v)
+		}
+	})
+}
+
+// TestPrimariesAreSpread guards against a domain whose daemons all burden the
+// distributor that came first.
+func TestPrimariesAreSpread(t *testing.T) {
+	run(t, func(t *testing.T, f *domaintest.Fleet) {
+		distributors, plain := f.Distributors(0)
+		distributors[0].Vanish()
+		time.Sleep(30 * time.Second)
+		count := map[int32]int{}
+		for _, n := range append(plain, distributors[1]) {
+			for _, d := range n.Member.Status().Distributors {
+				if d.Primary {
+					count[d.Slot]++
+				}
+			}
+		}
+		assert.Equal(t, count[0]+count[1], shape.PerDomain-1)
+		assert.Assert(t, count[0] >= 2 && count[1] >= 2, "primaries: %v", count)
+	})
+}
+
 // TestSubscribe guards against a subscription that returns before bundle and
 // endpoints are held, or that waits for a service that does not exist.
 func TestSubscribe(t *testing.T) {
--- a/pkg/domain/repair_test.go
+++ b/pkg/domain/repair_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/domain"
 	"nutmegstand.example/nutmegstand/pkg/domain/domaintest"
 	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/pb"
@@ -47,9 +48,14 @@
 		_, plain := f.Distributors(0)
 		n := plain[0]
 		f.Network.SetCut(func(from, to string) bool { return (from == n.Name) != (to == n.Name) })
+		v := f.Accept(n.Service)
+		f.Await("only the cut daemon lacks the version", 2*time.Second, func() bool {
+			progress, err := plain[1].Member.Progress(t.Context())
+			everywhere, lacking, unknown := domain.InForce(progress, v)
+			return err == nil && !everywhere && len(unknown) == 0 && len(lacking) == 1 && lacking[0] == n.Name
+		})
 		f.Await("it is lost", 6*time.Second, unusedBy(f, n))
 		time.Sleep(10 * time.Second)
-		v := f.Accept(n.Service)
 		f.Network.SetCut(nil)
 		f.Await("it is used again, with the newest version", bound, func() bool {
 			return allUsable(f) && domaintest.InForce(v, n)()
