--- a/pkg/target/keys.go
+++ b/pkg/target/keys.go
@@ -17,8 +17,12 @@
 	// maxRecords bounds the full records. The oldest become marks early, which
 	// costs repeats their stored answer and nothing else.
 	maxRecords = 16 << 10
-	// maxMarks bounds the marks of dated keys, and those of undated keys.
-	maxMarks = 128 << 10
+	// maxDatedMarks bounds the marks of dated keys. With the records they cover
+	// the 10 minutes in which a dated key may run at 80 orders a second.
+	maxDatedMarks = 32 << 10
+	// maxUndatedMarks bounds the marks of undated keys, which are needed for the
+	// whole hour: 36 orders a second. Beyond it new undated keys are refused.
+	maxUndatedMarks = 128 << 10
 	// maxWaitingRepeats bounds the repeats that wait for one run.
 	maxWaitingRepeats = 16
 	// MaxKeyBytes bounds the length of a key.
@@ -61,12 +65,12 @@
 
 // marks is a bounded set of marks in order of time.
 type marks struct {
-	at    map[uint64]int64
+	known map[uint64]struct{}
 	order []mark
 }
 
 func (m *marks) add(hash uint64, at int64) {
-	m.at[hash] = at
+	m.known[hash] = struct{}{}
 	m.order = append(m.order, mark{hash: hash, at: at})
 }
 
@@ -74,9 +78,7 @@
 func (m *marks) drop() int64 {
 	oldest := m.order[0]
 	m.order = m.order[1:]
-	if m.at[oldest.hash] == oldest.at {
-		delete(m.at, oldest.hash)
-	}
+	delete(m.known, oldest.hash)
 	return oldest.at
 }
 
@@ -105,8 +107,8 @@
 func NewKeyTable() *KeyTable {
 	return &KeyTable{
 		records: make(map[string]*keyRecord),
-		dated:   marks{at: make(map[uint64]int64)},
-		undated: marks{at: make(map[uint64]int64)},
+		dated:   marks{known: make(map[uint64]struct{})},
+		undated: marks{known: make(map[uint64]struct{})},
 	}
 }
 
@@ -159,10 +161,10 @@
 		return nil, keyRun
 	}
 	hash := xxhash.Sum64String(id)
-	if _, ok := t.dated.at[hash]; ok {
+	if _, ok := t.dated.known[hash]; ok {
 		return nil, keyRun
 	}
-	if _, ok := t.undated.at[hash]; ok {
+	if _, ok := t.undated.known[hash]; ok {
 		return nil, keyRun
 	}
 	if createdMS != 0 && createdMS <= t.floorMS {
@@ -174,7 +176,7 @@
 // undatedFull reports whether the marks of undated keys, with those that the
 // records may become, would exceed their bound. They cannot be dropped early,
 // because nothing else tells whether an undated key is old.
-func (t *KeyTable) undatedFull() bool { return len(t.undated.order)+len(t.records) >= maxMarks }
+func (t *KeyTable) undatedFull() bool { return len(t.undated.order)+len(t.records) >= maxUndatedMarks }
 
 // Abort removes the reservation of a key that was not run.
 func (t *KeyTable) Abort(record *keyRecord) {
@@ -252,13 +254,21 @@
 	}
 	t.dated.expire(now.Unix())
 	t.undated.expire(now.Unix())
-	for len(t.dated.order) > maxMarks {
+	for len(t.dated.order) > maxDatedMarks {
 		// A key was created at most the clock allowance after its run ended;
 		// one more second covers the rounding of the mark.
 		t.floorMS = max(t.floorMS, (t.dated.drop()+2)*1000)
 	}
 }
 
+// Fill records a finished run of a key, unless the table knows the key or is
+// full; measurements fill a table with it.
+func (t *KeyTable) Fill(id string, request uint64, createdMS int64, answer *Answer) {
+	if record, state := t.Begin(id, request, createdMS); state == keyNew {
+		t.Finish(record, answer)
+	}
+}
+
 // KeyTableSize is the content of a table.
 type KeyTableSize struct{ Records, Marks, AnswerBytes int }
 
--- a/pkg/target/keys_test.go
+++ b/pkg/target/keys_test.go
@@ -47,8 +47,9 @@
 			other := order()
 			other.Member = "shop-2"
 			if !dated { // a dated key of this age is only looked up
-				answer, _ = d.Gate.Do(context.Background(), other, nil)
-				assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED, "two members shared a key")
+				answer, body = d.Gate.Do(context.Background(), other, nil)
+				assert.Equal(t, answer.GetOutcome(), pb.Outcome_OUTCOME_ANSWERED)
+				assert.Assert(t, string(body) != got.body, "a member got the answer of another member")
 			}
 
 			for _, pause := range []time.Duration{time.Minute, 49 * time.Minute} {
--- a/pkg/target/property_test.go
+++ b/pkg/target/property_test.go
@@ -160,16 +160,16 @@
 			return refused
 		}
 		start := time.Now().UnixMilli()
-		assert.Equal(t, fill("dated ", maxMarks+maxRecords+5000, true), 0)
+		assert.Equal(t, fill("dated ", maxDatedMarks+maxRecords+5000, true), 0)
 		_, state := table.Begin("never seen", 1, start)
 		assert.Equal(t, state, keyForgotten)
 		_, state = table.Begin("dated 0", 1, start)
 		assert.Equal(t, state, keyForgotten)
-		refused := fill("undated ", maxMarks+1000, false)
+		refused := fill("undated ", maxUndatedMarks+1000, false)
 		assert.Assert(t, refused > 0, "undated keys have no bound")
 		_, state = table.Begin("undated 0", 1, 0)
 		assert.Equal(t, state, keyRun)
 		size := table.Size()
-		assert.Assert(t, size.Records <= maxRecords+1 && size.Marks <= 2*maxMarks, "%+v", size)
+		assert.Assert(t, size.Records <= maxRecords+1 && size.Marks <= maxDatedMarks+maxUndatedMarks, "%+v", size)
 	})
 }
--- /dev/null
+++ b/test/measure/target/cost.go
@@ -0,0 +1,82 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/target"
+	"nutmegstand.example/nutmegstand/pkg/target/faketarget"
+	"nutmegstand.example/nutmegstand/pkg/telemetry"
+	"nutmegstand.example/nutmegstand/test/measure/report"
+)
+
+const (
+	// controlHeap is the control memory of a daemon in section 2.3, in MB. The
+	// key table is one part of it.
+	controlHeap = 32
+	costCalls   = 20_000
+	// storedAnswer is the size of the answers that fill the key table.
+	storedAnswer = 2 << 10
+)
+
+func heapMB() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc) / (1 << 20)
+}
+
+// measureKeyTable emits the memory of a key table at its bounds. Orders come
+// faster than the table can keep, dated and undated ones in turn.
+func measureKeyTable(t testing.TB, virtual func(func())) {
+	virtual(func() {
+		before := heapMB()
+		gate := faketarget.NewDaemon(faketarget.Config{Name: "vm-1"}).Gate
+		table := gate.Keys()
+		const keys = 600_000
+		for i := range keys {
+			created := int64(0)
+			if i%2 == 0 {
+				created = time.Now().UnixMilli()
+			}
+			key := fmt.Sprintf("orderdesk-shop-17-018f6f0e-7a3c-7000-8000-%012d", i)
+			table.Fill(key, uint64(i), created, &target.Answer{Status: 200, Body: make([]byte, storedAnswer)})
+			time.Sleep(time.Millisecond)
+		}
+		used := heapMB() - before
+		report.Emit(t, report.Line{
+			Measure: "control_heap", Case: fmt.Sprintf("key table at its bounds, %d keys offered", keys), Value: used,
+			Unit: "MB", Bound: report.Bound(controlHeap), OK: used <= controlHeap,
+		})
+		t.Logf("table: %+v", table.Size())
+	})
+}
+
+// measureGateTime emits the processor time that the gate adds to a call, with
+// decision lines, on the machine's clock.
+func measureGateTime(t testing.TB) {
+	logger, flush := telemetry.NewLogger(io.Discard, zapcore.InfoLevel)
+	defer flush()
+	d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1", Logger: logger})
+	for _, kind := range []string{"idempotent", "keyed"} {
+		start := time.Now()
+		for i := range costCalls {
+			head := faketarget.Call("c", "/stock", time.Second)
+			if kind == "keyed" {
+				head = faketarget.Order("c", faketarget.Key(time.Now(), uint64(i)), time.Second)
+			}
+			if answer, _ := d.Gate.Do(context.Background(), head, nil); answer.GetOutcome() != pb.Outcome_OUTCOME_ANSWERED {
+				t.Fatalf("call %d: %s", i, answer.GetReason())
+			}
+		}
+		perCall := float64(time.Since(start).Microseconds()) / costCalls
+		emit(t, "gate_time", kind+" call, mean of 20000, one at a time", 0, perCall, "us")
+	}
+}
--- a/test/measure/target/measure_test.go
+++ b/test/measure/target/measure_test.go
@@ -51,3 +51,10 @@
 		measureStops(t, virtual(t), seed)
 	}
 }
+
+// TestKeyTableMemory guards the control memory of a daemon whose members send
+// more orders than it can remember.
+func TestKeyTableMemory(t *testing.T) { measureKeyTable(t, virtual(t)) }
+
+// TestGateTime measures the cost of the checks.
+func TestGateTime(t *testing.T) { measureGateTime(t) }
--- a/test/measure/target/overload.go
+++ b/test/measure/target/overload.go
@@ -18,6 +18,10 @@
 	// capacity" is taken to mean at 3 times the capacity. The design page states
 	// no figure; this one was fixed before the first run.
 	overloadGoodput = 0.9
+	// floodFairness is what "fair by member" is taken to mean while one member
+	// floods. All others could be served whole, so a fair queue comes near 1. The
+	// design page states no figure.
+	floodFairness = 0.95
 )
 
 // policy is a scheduler to measure.
@@ -114,8 +118,8 @@
 		index[p.name] = jain(got)
 		emit(t, "fairness", p.name+", one member floods", seed, index[p.name], "Jain's index")
 	}
-	if index["fair"] <= index["baseline fifo"] {
-		t.Errorf("fairness %.3f is not above %.3f of the FIFO baseline", index["fair"], index["baseline fifo"])
+	if index["fair"] < floodFairness {
+		t.Errorf("fairness is %.3f while one member floods, expected at least %g", index["fair"], floodFairness)
 	}
 }
 
