Add scripted scenarios over whole daemons as real processes

Cause: lost state, paused lease holders and planned stops were tested in virtual time and in the demo only; neither restarts a process, loses the store for long or checks histories.

Change: test/scenario runs testscript scripts over nutmegstandd, nutmegtarget and nutmegstore on loopback, each VM with an address of its own.

The check of a planned stop allows an order to end as "home departed": the trace shows keys created up to 1 s after the departure of their home, which section 9 of the design answers with "outcome unknown".

--- a/cmd/nutmegtarget/main.go
+++ b/cmd/nutmegtarget/main.go
@@ -21,6 +21,7 @@
 const (
 	exitFailed   = 1
 	exitBadUsage = 2
+	exitCrashed  = 3
 )
 
 // options are the flags of the program.
@@ -31,6 +32,8 @@
 	errorRate                 float64
 	errorAfter                time.Duration
 	errorPath                 string
+	errorOnSignal             bool
+	crashPath, journal        string
 	innerHost, innerPath      string
 	slots, connections        int
 	announceTimeout, drainFor time.Duration
@@ -47,7 +50,14 @@
 		return exitBadUsage
 	}
 	hlog.SetLevel(hlog.LevelFatal)
-	t := newTarget(o)
+	t, err := newTarget(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtarget:", err)
+		return exitFailed
+	}
+	if o.errorOnSignal {
+		go t.awaitFault()
+	}
 	h := server.New(server.WithHostPorts(o.listen), server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Second))
 	h.GET(ordersPath, t.showOrders)
@@ -88,6 +98,9 @@
 	flag.Float64Var(&o.errorRate, "error-rate", 0, "part of the requests that fail, 0 to 1")
 	flag.DurationVar(&o.errorAfter, "error-after", 0, "time from the first request until requests fail")
 	flag.StringVar(&o.errorPath, "error-path", "", "path `prefix` of the requests that fail, empty for all")
+	flag.BoolVar(&o.errorOnSignal, "error-on-signal", false, "requests fail only after SIGUSR1")
+	flag.StringVar(&o.crashPath, "crash-path", "", "path `prefix` of the requests that end the process, empty for none")
+	flag.StringVar(&o.journal, "journal", "", "`file` to append a line to for each order and each call")
 	flag.StringVar(&o.innerHost, "inner-host", "", "`host` of another service to call for each request")
 	flag.StringVar(&o.innerPath, "inner-path", "/", "`path` of that call")
 	flag.IntVar(&o.slots, "slots", 0, "slots to announce, 0 for the service's")
--- a/cmd/nutmegtarget/target.go
+++ b/cmd/nutmegtarget/target.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,6 +19,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/google/uuid"
 
 	"nutmegstand.example/nutmegstand/pkg/route/chain"
 	daemontarget "nutmegstand.example/nutmegstand/pkg/target"
@@ -37,17 +41,32 @@
 	instance string
 	http     *client.Client
 	first    atomic.Int64 // Unix ns of the first request
+	faulty   atomic.Bool  // the scripted fault is switched on
+	journal  *os.File     // nil without a journal
 
 	mu     sync.Mutex
 	orders map[string]int
 }
 
-func newTarget(o *options) *target {
+func newTarget(o *options) (*target, error) {
 	c, err := client.NewClient(client.WithDialer(standard.NewDialer()))
 	if err != nil {
-		panic("nutmegtarget: HTTP client: " + err.Error()) // only options can fail
+		return nil, err
 	}
-	return &target{options: o, instance: time.Now().Format(time.RFC3339Nano), http: c, orders: map[string]int{}}
+	t := &target{options: o, instance: time.Now().Format(time.RFC3339Nano), http: c, orders: map[string]int{}}
+	t.faulty.Store(!o.errorOnSignal)
+	if o.journal != "" {
+		t.journal, err = os.OpenFile(o.journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	}
+	return t, err
+}
+
+// awaitFault switches the scripted fault on at the first SIGUSR1.
+func (t *target) awaitFault() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	<-signals
+	t.faulty.Store(true)
 }
 
 // answer is the body of every answer. Echo repeats the caller's request, so
@@ -57,20 +76,29 @@
 	Version string `json:"version"`
 	Target  string `json:"target"`
 	Echo    string `json:"echo"`
+	Run     string `json:"run,omitempty"`   // names one run of an order
 	Inner   int    `json:"inner,omitempty"` // status of the inner call
 }
 
 func (t *target) serve(ctx context.Context, rc *app.RequestContext) {
 	t.first.CompareAndSwap(0, time.Now().UnixNano())
-	time.Sleep(t.options.latency)
+	if crash := t.options.crashPath; crash != "" && strings.HasPrefix(string(rc.Request.URI().Path()), crash) {
+		os.Exit(exitCrashed)
+	}
 	result := answer{
 		Service: t.options.service, Version: t.options.version, Target: t.options.listen,
 		Echo: string(rc.Request.URI().RequestURI()) + " " + string(rc.Request.Body()),
 	}
 	if id := string(rc.Request.Header.Peek(orderIDHeader)); id != "" {
-		t.count(id)
+		result.Run = uuid.NewString()
+		if err := t.count(id, result.Run); err != nil {
+			rc.String(consts.StatusInternalServerError, err.Error())
+			return
+		}
 	}
-	if t.fails(string(rc.Request.URI().Path())) {
+	time.Sleep(t.options.latency)
+	failed := t.fails(string(rc.Request.URI().Path()))
+	if err := t.note("call", time.Now().UnixMilli(), failed, string(rc.Request.URI().Path())); err != nil || failed {
 		rc.JSON(consts.StatusInternalServerError, result)
 		return
 	}
@@ -83,7 +111,7 @@
 // fails decides whether a request meets the scripted fault.
 func (t *target) fails(path string) bool {
 	o := t.options
-	if o.errorRate == 0 || !strings.HasPrefix(path, o.errorPath) {
+	if !t.faulty.Load() || o.errorRate == 0 || !strings.HasPrefix(path, o.errorPath) {
 		return false
 	}
 	if time.Since(time.Unix(0, t.first.Load())) < o.errorAfter {
@@ -92,10 +120,22 @@
 	return rand.Float64() < o.errorRate
 }
 
-func (t *target) count(id string) {
+// count notes a run before its work, in the journal too, so that the run of a
+// target that is killed meanwhile is not forgotten.
+func (t *target) count(id, run string) error {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.orders[id]++
+	t.mu.Unlock()
+	return t.note("order", id, run)
+}
+
+// note appends a line to the journal, if there is one.
+func (t *target) note(fields ...any) error {
+	if t.journal == nil {
+		return nil
+	}
+	_, err := fmt.Fprintln(t.journal, fields...) // one write, so lines stay whole
+	return err
 }
 
 func (t *target) showOrders(_ context.Context, rc *app.RequestContext) {
--- /dev/null
+++ b/test/scenario/vm.go
@@ -0,0 +1,128 @@
+package scenario
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/settings"
+)
+
+// Ports of a VM. They lie below the range of ports that the system gives to
+// outgoing connections, so a restarted process finds its port free.
+const (
+	portCalls = 7100 + iota
+	portLocal
+	portAnnounce
+	portDaemons
+	portAdmin
+	portMetrics
+	portTarget
+	portStore
+)
+
+const (
+	adminToken   = "scenario-administrator"
+	drainTimeout = 10 * time.Second
+	storeTimeout = time.Second
+	// addressTries bounds the search for an address whose ports are free.
+	addressTries = 100
+)
+
+// vm is one VM of a scenario: a daemon and a target.
+type vm struct {
+	name, domain     string
+	service, version string
+	flags            []string // of the target
+	ip               string
+	daemon, target   *process
+	avoided          atomic.Bool // callers were told to go elsewhere, or the VM is down by the script
+}
+
+func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
+
+var addresses = struct {
+	sync.Mutex
+	taken map[string]bool
+}{taken: map[string]bool{}}
+
+// freeIP returns a loopback address on which all ports of a VM are free. Each
+// VM has an address of its own, as in production.
+func freeIP() (string, error) {
+	addresses.Lock()
+	defer addresses.Unlock()
+	for range addressTries {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+		if !addresses.taken[ip] && portsFree(ip) {
+			addresses.taken[ip] = true
+			return ip, nil
+		}
+	}
+	return "", fmt.Errorf("no loopback address with free ports in %d tries", addressTries)
+}
+
+func portsFree(ip string) bool {
+	for port := portCalls; port <= portStore; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
+// writeSettings writes the settings file of the daemon.
+func (v *vm) writeSettings(dir, store string) (string, error) {
+	sum := sha256.Sum256([]byte(adminToken))
+	s := settings.Settings{
+		Name: v.name, Domain: v.domain, Advertise: v.address(portDaemons),
+		Listen: settings.Listen{
+			Calls: v.address(portCalls), Local: v.address(portLocal), Announce: v.address(portAnnounce),
+			Daemons: v.address(portDaemons), Admin: v.address(portAdmin), Metrics: v.address(portMetrics),
+		},
+		Store:        settings.Store{Address: store, Timeout: settings.Duration(storeTimeout)},
+		Admin:        settings.Admin{Tokens: []settings.Token{{Name: "scenario", SHA256: hex.EncodeToString(sum[:])}}, MaxBodyBytes: 4 << 20},
+		Calls:        settings.Calls{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10},
+		Log:          settings.Log{Level: "info", Decisions: true},
+		DrainTimeout: settings.Duration(drainTimeout), MemoryLimitBytes: 96 << 20,
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(dir, v.name+".json")
+	return file, os.WriteFile(file, data, 0o600)
+}
+
+// start starts what does not run of the VM.
+func (v *vm) start(f *fleet, store string) error {
+	file, err := v.writeSettings(f.logDir, store)
+	if err != nil {
+		return err
+	}
+	if !v.daemon.running() {
+		if v.daemon, err = f.start(v.name+"-daemon", "nutmegstandd", "-settings", file); err != nil {
+			return err
+		}
+	}
+	if !v.target.running() {
+		flags := append([]string{
+			"-listen", v.address(portTarget), "-announce", v.address(portAnnounce), "-local", v.address(portLocal),
+			"-service", v.service, "-version", v.version, "-journal", filepath.Join(f.logDir, v.name+".orders"),
+		}, v.flags...)
+		if v.target, err = f.start(v.name+"-target", "nutmegtarget", flags...); err != nil {
+			return err
+		}
+	}
+	v.avoided.Store(false)
+	return nil
+}
