--- a/pkg/domain/member.go
+++ b/pkg/domain/member.go
@@ -37,7 +37,7 @@
 	distributors  []string // addresses, as told last
 	successors    []string // addresses, in order
 	successorName []string
-	listed        bool // a lease of the domain names this daemon's address
+	listed        bool                // a lease of the domain names this daemon's address
 	entries       map[string][]string // addresses by domain, from the store
 	alone         time.Time           // since when no distributor is connected
 	storeDown     time.Time           // since when the store failed, zero if it answered last
