Use one duration type in settings and configuration

Cause: settings and configuration each had a JSON duration with the same code. Change: settings use the type of the configuration under their own name. Conclusion: a file and a settings file write durations in the same way.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -3,10 +3,11 @@
 package settings
 
 import (
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap/zapcore"
+
+	"nutmegstand.example/nutmegstand/pkg/config"
 )
 
 // Settings is the content of the settings file.
@@ -90,22 +91,8 @@
 	return level
 }
 
-// Duration is a time.Duration written as a string such as "5s".
-type Duration time.Duration
-
-// UnmarshalJSON reads a duration string.
-func (d *Duration) UnmarshalJSON(data []byte) error {
-	var text string
-	if err := json.Unmarshal(data, &text); err != nil {
-		return err
-	}
-	parsed, err := time.ParseDuration(text)
-	*d = Duration(parsed)
-	return err
-}
-
-// MarshalJSON writes the duration as a string.
-func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+// Duration is written as a string such as "5s".
+type Duration = config.Duration
 
 // Default values of optional settings.
 const (
