Look at a connection's socket before it is used again

With four test processes at once, 2 of 60 runs gave the stray second answer of a target to a later request: the task that read idle connections was stopped before it saw bytes that had arrived. Two other failures were faults of the tests, which slept instead of waiting.

Change: the socket is looked at with MSG_PEEK just before use; the reading task is gone.

Conclusion: late bytes are found whatever the scheduler does.

--- a/pkg/target/httpbackend.go
+++ b/pkg/target/httpbackend.go
@@ -137,7 +137,7 @@
 				b.forget(round)
 				return nil, &DownError{Cause: err}
 			}
-		} else if !conn.wake() {
+		} else if !conn.quiet() {
 			b.drop(conn)
 			continue
 		}
@@ -177,7 +177,6 @@
 	b.mu.Lock()
 	if conn.round == b.round && b.open <= b.limit && !conn.isClosed() {
 		b.idle = append(b.idle, conn)
-		conn.watch(func() { b.dropIdle(conn) })
 		b.mu.Unlock()
 		return
 	}
@@ -185,21 +184,6 @@
 	b.drop(conn)
 }
 
-// dropIdle closes an idle connection on which something arrived: its end, or
-// bytes that belong to no request.
-func (b *HTTPBackend) dropIdle(conn *targetConn) {
-	b.mu.Lock()
-	for i, other := range b.idle {
-		if other == conn {
-			b.idle = append(b.idle[:i], b.idle[i+1:]...)
-			b.mu.Unlock()
-			b.drop(conn)
-			return
-		}
-	}
-	b.mu.Unlock()
-}
-
 // drop closes a connection and opens another in its place.
 func (b *HTTPBackend) drop(conn *targetConn) {
 	conn.close()
