Check that refusals under overload come early

Change: at 3 times the capacity a refusal must take less than one service time on average.

Measured: before the check, removal passed; after, it fails (13.3 ms against 10 ms).

--- a/test/measure/target/overload.go
+++ b/test/measure/target/overload.go
@@ -87,6 +87,10 @@
 	if times < 3 {
 		return
 	}
+	// A refusal that takes longer than the call itself would is not early.
+	if limit, got := loadLatency.Seconds()*1000, results["fair"].meanRefusal(); got > limit {
+		t.Errorf("a refusal at %g times capacity takes %.2f ms on average, expected at most %g", times, got, limit)
+	}
 	fair := results["fair"].goodput(duration)
 	if fair < overloadGoodput {
 		t.Errorf("goodput at %g times capacity is %.3f of capacity, expected at least %g", times, fair, overloadGoodput)
