Send the membership lease on change, and name daemons behind after 1 s

The lease was 3 bytes in every answer, the standby answered each new version at once without need, and every change sent the names of daemons that were about to report.

--- a/pkg/domain/distributor.go
+++ b/pkg/domain/distributor.go
@@ -182,7 +182,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.sessions {
-		notify(s.wake)
+		s.wakeForVersion()
 	}
 	for _, x := range d.links {
 		x.noteVersion(!fromStore)
--- a/pkg/domain/feed.go
+++ b/pkg/domain/feed.go
@@ -33,6 +33,7 @@
 
 	toldLeaving bool // the last report was sent
 
+	lease       time.Duration // that each report earns
 	liveSince   time.Time
 	behindSince time.Time // since when the other distributor knows a newer version
 
@@ -197,8 +198,11 @@
 		f.slot, f.fencing = u.GetSlot(), u.GetFencing()
 	}
 	f.version = max(f.version, u.GetFleetVersion())
-	if sent, ok := f.sentAt[u.GetReportSequence()]; ok && u.GetLeaseMs() > 0 {
-		m.extendLease(sent.Add(time.Duration(u.GetLeaseMs()) * time.Millisecond))
+	if u.GetLeaseMs() != 0 {
+		f.lease = time.Duration(u.GetLeaseMs()) * time.Millisecond
+	}
+	if sent, ok := f.sentAt[u.GetReportSequence()]; ok && f.lease > 0 {
+		m.extendLease(sent.Add(f.lease))
 	}
 	if u.GetComplete() {
 		if covered, ok := f.covers[u.GetReportSequence()]; ok && covered > m.completed {
--- a/pkg/domain/liveness.go
+++ b/pkg/domain/liveness.go
@@ -32,6 +32,7 @@
 	leased      bool // a membership lease was granted under a held office
 	left        bool // the daemon said that it leaves
 	silentSince time.Time
+	behindSince time.Time // since when it lacks the newest version
 	heldBack    time.Time // a mass vanished; lost only then, or when confirmed
 	lost        bool
 	vouched     bool // the daemon refuted its loss on another path
--- a/pkg/domain/progress.go
+++ b/pkg/domain/progress.go
@@ -11,6 +11,9 @@
 const (
 	// maxBehindNames bounds the names in one progress message.
 	maxBehindNames = 20
+	// namedAfter is how long a daemon is behind before it is named. Without it
+	// every change would send the names of daemons that are about to report.
+	namedAfter = time.Second
 	// progressKeep is the age after which a domain's progress is unknown.
 	progressKeep = 5 * time.Second
 )
@@ -21,16 +24,23 @@
 func (d *Distributor) ownProgress() *pb.DomainProgress {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	newest := d.fleet.Load()
+	now, newest := time.Now(), d.fleet.Load()
 	p := &pb.DomainProgress{Domain: d.o.Domain, Version: newest}
 	for name, ms := range d.members {
 		if ms.departed || ms.left {
 			continue
 		}
 		p.Members++
-		if ms.version < newest {
-			p.Behind++
-			p.Version = min(p.Version, ms.version)
+		if ms.version >= newest {
+			ms.behindSince = time.Time{}
+			continue
+		}
+		p.Behind++
+		p.Version = min(p.Version, ms.version)
+		if ms.behindSince.IsZero() {
+			ms.behindSince = now
+		}
+		if now.Sub(ms.behindSince) >= namedAfter {
 			p.BehindNames = append(p.BehindNames, name)
 		}
 	}
--- a/pkg/domain/session.go
+++ b/pkg/domain/session.go
@@ -29,6 +29,9 @@
 	repairMax = 5 * time.Minute
 )
 
+// noLease tells a member daemon that its reports earn no membership lease.
+const noLease = -1
+
 // session is the stream of one member daemon.
 type session struct {
 	d      *Distributor
@@ -62,6 +65,7 @@
 	toldPeers  string // distributors and successors
 	toldOffice *office
 	toldFleet  uint64
+	toldLease  int64
 }
 
 // join serves the stream of one member daemon.
@@ -272,6 +276,15 @@
 	}
 }
 
+// wakeForVersion sends a newer version, unless this distributor is the standby.
+func (s *session) wakeForVersion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all {
+		notify(s.wake)
+	}
+}
+
 func (s *session) send(ctx context.Context) {
 	for {
 		select {
@@ -317,8 +330,12 @@
 	if fleet := d.fleet.Load(); fleet != s.toldFleet {
 		u.FleetVersion, s.toldFleet = fleet, fleet
 	}
+	lease := int64(noLease)
 	if s.leased {
-		u.LeaseMs = membershipLease.Milliseconds()
+		lease = membershipLease.Milliseconds()
+	}
+	if lease != s.toldLease {
+		u.LeaseMs, s.toldLease = lease, lease
 	}
 	for key, r := range s.pending {
 		u.Records = append(u.Records, r)
