Repair records after a time of difference, not a number of reports

TestRepair failed in 2 of 12 runs: three reports that differ could follow one another within milliseconds while a daemon joined, so a needless repair put off the needed one by 10 s. The digests must now differ for 3 s.

--- a/pkg/domain/errors.go
+++ b/pkg/domain/errors.go
@@ -102,7 +102,7 @@
 	eventHeadWentBack = telemetry.NewEvent(1318, "head_went_back", zapcore.ErrorLevel,
 		"The store's head is older than the version in force; it is ignored.")
 	eventRecordsRepaired = telemetry.NewEvent(1319, "records_repaired", zapcore.WarnLevel,
-		"A member daemon's records differed for several reports; all were sent again.")
+		"A member daemon's records differed for 3 s; all were sent again.")
 	eventLeftOffice = telemetry.NewEvent(1320, "distributor_superseded", zapcore.WarnLevel,
 		"Another daemon holds this distributor's slot with a higher fencing number.")
 )
--- a/pkg/domain/session.go
+++ b/pkg/domain/session.go
@@ -20,10 +20,10 @@
 	standbyDelay = 1500 * time.Millisecond
 	// resendDelay is how long a sent version may be missing from the reports.
 	resendDelay = 2 * time.Second
-	// repairReports is the number of consecutive reports whose digest differs
-	// before all records are sent again. Records on their way make digests
-	// differ for a moment.
-	repairReports = 3
+	// repairDelay is how long the digests must differ before all records are
+	// sent again. Records on their way make them differ for a moment, and
+	// reports may follow one another closely, so it is a time, not a count.
+	repairDelay = 3 * time.Second
 	// repairMin and repairMax bound the time between two such repairs.
 	repairMin = 10 * time.Second
 	repairMax = 5 * time.Minute
@@ -55,8 +55,8 @@
 	sentAt       time.Time
 	wantFull     bool
 	wantProgress bool
-	minimum      uint64 // incarnation that the member daemon must exceed
-	mismatches   int
+	minimum      uint64    // incarnation that the member daemon must exceed
+	differsSince time.Time // since when the member daemon's records differ
 	repairAt     time.Time
 	repairWait   time.Duration
 	digest       uint64 // of the member daemon's records
@@ -219,22 +219,24 @@
 }
 
 // mismatchLocked reports whether the member daemon's records have differed for
-// several reports, so that they are to be sent again.
+// repairDelay, so that they are to be sent again.
 func (s *session) mismatchLocked(r *pb.MemberReport) bool {
 	if r.GetRecordsDigest() != 0 {
 		s.digest = r.GetRecordsDigest()
 	}
 	if r.GetFirst() || s.digest == s.d.table.Digest(s.subscribed) {
-		s.mismatches = 0
+		s.differsSince = time.Time{}
 		return false
 	}
-	s.mismatches++
 	now := time.Now()
-	if s.mismatches < repairReports || now.Before(s.repairAt) {
+	if s.differsSince.IsZero() {
+		s.differsSince = now
+	}
+	if now.Sub(s.differsSince) < repairDelay || now.Before(s.repairAt) {
 		return false
 	}
 	eventRecordsRepaired.Log(s.d.o.Logger, zap.String("daemon", s.name))
-	s.mismatches = 0
+	s.differsSince = time.Time{}
 	s.repairAt, s.repairWait = now.Add(s.repairWait), min(2*s.repairWait, repairMax)
 	return true
 }
