Let a daemon that was declared departed become eligible for keys anew

Cause: a daemon that was cut off, declared departed and came back refuted its loss with the same eligibility time, so keys that another home had run in the meantime had their home at the returned daemon again and could run twice. Also, the target side numbered its endpoint records itself while the member daemon numbers them again when it refutes a loss, so that a later "leaving" record could count as older and be dropped.

Change: the member daemon tells of the departure (Options.Returned); the target side publishes the earlier stay as departed and the endpoint with a new eligibility time. The member daemon numbers all endpoint records.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -9,6 +9,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/accept"
 	"nutmegstand.example/nutmegstand/pkg/admin"
+	"nutmegstand.example/nutmegstand/pkg/domain"
 	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 	"nutmegstand.example/nutmegstand/pkg/route"
@@ -40,7 +41,7 @@
 	d.local = target.NewLocal(target.LocalOptions{
 		Name: d.settings.Name, Address: d.settings.Advertise, Domain: d.settings.Domain,
 		Incarnation: d.member.Incarnation(), Limits: d.targetLimits, Connector: d.backend,
-		Records: d.member, Logger: d.logger,
+		Records: memberStamped{d.member}, Logger: d.logger,
 	})
 	d.local.SetGate(d.gate)
 	d.announce = target.NewAnnounceServer(d.listeners.announce, d.local)
@@ -63,6 +64,17 @@
 	return target.Limits{Slots: s.Slots, Connections: s.Connections, ColdStart: time.Duration(s.ColdStart)}
 }
 
+// memberStamped publishes records under the member daemon's own counter. The
+// member daemon numbers the endpoint record again when it refutes its loss, and
+// a record with a number of its own would then be taken for an older one.
+type memberStamped struct{ member *domain.Member }
+
+// Publish implements target.RecordPublisher.
+func (m memberStamped) Publish(record *pb.Record) {
+	record.Owner, record.Incarnation, record.Counter = "", 0, 0
+	m.member.Publish(record)
+}
+
 // suspectPublisher spreads the requests that were in flight at a crash.
 type suspectPublisher struct{ records target.RecordPublisher }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -117,6 +117,7 @@
 	d.member = domain.NewMember(domain.Options{
 		Name: d.settings.Name, Address: d.settings.Advertise, Domain: d.settings.Domain,
 		Store: d.store, Dial: link.DialTCP, Tasks: d.tasks, Logger: d.logger,
+		Returned: func(departedMS int64) { d.local.Return(departedMS) },
 	})
 	d.roles = domain.NewServer(d.member)
 	d.roles.Role = d.runControllers
--- a/pkg/domain/doc.go
+++ b/pkg/domain/doc.go
@@ -87,6 +87,11 @@
 	Logger *zap.Logger
 	// Seed fixes the random choices; 0 takes a random seed.
 	Seed uint64
+	// Returned is called when a lease holder had declared this daemon departed
+	// at the given time (Unix ms) and it is back. It publishes the endpoint anew,
+	// since others may have taken over its keys. Nil publishes the endpoint as
+	// it was.
+	Returned func(departedMS int64)
 }
 
 func (o *Options) setDefaults() {
--- a/pkg/domain/domaintest/node.go
+++ b/pkg/domain/domaintest/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcerr"
@@ -16,13 +17,14 @@
 
 // Node is one daemon with a target that is ready as soon as the daemon is.
 type Node struct {
-	Name    string
-	Domain  string
-	Service string
-	Depends []string
-	Member  *domain.Member
-	Server  *domain.Server
-	Store   *Path
+	DepartedMS atomic.Int64 // last departure that the member daemon was told of
+	Name       string
+	Domain     string
+	Service    string
+	Depends    []string
+	Member     *domain.Member
+	Server     *domain.Server
+	Store      *Path
 
 	fleet   *Fleet
 	stop    context.CancelFunc
@@ -56,6 +58,7 @@
 	n.Member = domain.NewMember(domain.Options{
 		Name: n.Name, Address: n.Name, Domain: n.Domain, Store: n.Store, Dial: f.Network.Dial(n.Name),
 		Tasks: f.tasks, Logger: f.logger, Seed: f.seed + uint64(time.Now().UnixNano()),
+		Returned: func(departedMS int64) { n.DepartedMS.Store(departedMS) },
 	})
 	n.Server = domain.NewServer(n.Member)
 	server, err := link.NewServer(mesh{n.Server}, f.tasks, f.logger)
--- a/pkg/domain/liveness_test.go
+++ b/pkg/domain/liveness_test.go
@@ -59,6 +59,21 @@
 	})
 }
 
+// TestReturnIsTold guards against a daemon that does not learn that it was
+// declared departed while it was cut off, and keeps keys that have moved.
+func TestReturnIsTold(t *testing.T) {
+	run(t, func(t *testing.T, f *domaintest.Fleet) {
+		_, plain := f.Distributors(2)
+		n := plain[0]
+		f.Network.SetCut(func(from, to string) bool { return (from == n.Name) != (to == n.Name) })
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, n.DepartedMS.Load(), int64(0))
+		f.Network.SetCut(nil)
+		f.Await("it is used again", bound, func() bool { return allUsable(f) })
+		assert.Assert(t, n.DepartedMS.Load() > 0)
+	})
+}
+
 // TestPlannedStop guards against a planned stop that callers notice only by
 // silence.
 func TestPlannedStop(t *testing.T) {
--- a/pkg/domain/member.go
+++ b/pkg/domain/member.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"google.golang.org/protobuf/proto"
+
 	"nutmegstand.example/nutmegstand/pkg/config"
 	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/pb"
@@ -295,6 +297,11 @@
 // refute answers a liveness record about this daemon with a newer endpoint
 // record: it is alive, since it could read that it was lost.
 func (m *Member) refute(records []*pb.Record) {
+	if m.o.Returned != nil {
+		if departedMS, ok := m.departure(records); ok {
+			m.o.Returned(departedMS)
+		}
+	}
 	m.mu.Lock()
 	restamped := m.restampLocked(func(own *pb.Record) bool {
 		return own.GetKind() == pb.RecordKind_RECORD_ENDPOINT && slices.ContainsFunc(records, func(r *pb.Record) bool {
@@ -309,6 +316,24 @@
 	}
 }
 
+// departure returns the time at which the records say that this daemon's
+// endpoint departed, if they concern the present endpoint record.
+func (m *Member) departure(records []*pb.Record) (int64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range records {
+		if r.GetKind() != pb.RecordKind_RECORD_LIVENESS || r.GetKey() != m.o.Name || !saysDeparted(r) {
+			continue
+		}
+		own := m.own[recordKey{kind: pb.RecordKind_RECORD_ENDPOINT, service: r.GetService(), key: r.GetKey()}]
+		observed := &pb.Endpoint{}
+		if own != nil && concerns(r, own) && proto.Unmarshal(r.GetPayload(), observed) == nil {
+			return observed.GetDepartedMs(), true
+		}
+	}
+	return 0, false
+}
+
 // restampLocked gives the selected own records a new counter.
 func (m *Member) restampLocked(selected func(*pb.Record) bool) []*pb.Record {
 	var restamped []*pb.Record
--- a/pkg/target/announce.go
+++ b/pkg/target/announce.go
@@ -239,6 +239,22 @@
 	return drained
 }
 
+// Return publishes the endpoint anew after a distributor had declared this
+// daemon departed at the given time: other homes may have taken over its keys
+// since, so it becomes eligible again like a new endpoint, and its earlier stay
+// is kept as departed.
+func (l *Local) Return(departedMS int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.endpoint == nil || l.endpoint.GetDepartedMs() != 0 {
+		return
+	}
+	stay := proto.Clone(l.endpoint).(*pb.Endpoint)
+	stay.DepartedMs = departedMS
+	l.publishStayOf(stay)
+	l.change(func(e *pb.Endpoint) { e.EligibleSinceMs = time.Now().Add(eligibleDelay).UnixMilli() })
+}
+
 // Down records that the target was seen to be down, and probes it until it
 // accepts connections or announces itself again. No probe is sent otherwise.
 func (l *Local) Down() {
@@ -278,10 +294,14 @@
 // next stay only. Without it the keys of the earlier stay would move.
 func (l *Local) publishStay() {
 	stay := proto.Clone(l.endpoint).(*pb.Endpoint)
-	stay.State = pb.EndpointState_ENDPOINT_LEAVING
 	if stay.GetDepartedMs() == 0 {
 		stay.DepartedMs = time.Now().UnixMilli()
 	}
+	l.publishStayOf(stay)
+}
+
+func (l *Local) publishStayOf(stay *pb.Endpoint) {
+	stay.State = pb.EndpointState_ENDPOINT_LEAVING
 	l.publishAs(fmt.Sprintf("%s/%d", l.options.Name, stay.GetDepartedMs()), stay)
 }
 
--- a/pkg/target/announce_test.go
+++ b/pkg/target/announce_test.go
@@ -106,6 +106,38 @@
 	})
 }
 
+// TestReturnAfterDeparture guards against a home that resumes its keys after it
+// was declared departed, when another home may have run keys created since.
+func TestReturnAfterDeparture(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		d := faketarget.NewDaemon(faketarget.Config{Name: "vm-1"})
+		time.Sleep(10 * time.Second)
+		early := faketarget.Key(time.Now(), 1)
+		time.Sleep(2 * time.Second)
+		departed := time.Now().UnixMilli()
+		time.Sleep(5 * time.Second)
+		since := faketarget.Key(time.Now(), 2)
+		time.Sleep(time.Second)
+		d.Local.Return(departed)
+		var view []*pb.Endpoint
+		for _, e := range endpoints(t, d) {
+			view = append(view, e)
+		}
+		other := &pb.Endpoint{Name: "vm-2", EligibleSinceMs: 1, State: pb.EndpointState_ENDPOINT_READY}
+		view = append(view, other)
+		time.Sleep(10 * time.Second)
+		home := keyhome.Home(since, keyhome.CreatedMS(since), view, time.Now())
+		assert.Equal(t, home.Endpoint.GetName(), "vm-2", "a key created while vm-1 was departed")
+		for _, e := range view {
+			if e.GetName() == "vm-1" && e.GetDepartedMs() == departed {
+				assert.Assert(t, e.GetEligibleSinceMs() < keyhome.CreatedMS(early), "the earlier stay keeps its keys")
+				return
+			}
+		}
+		t.Fatal("the earlier stay is not published")
+	})
+}
+
 // TestColdStart guards a cold target from its full load, and the limits of the
 // announcement and of the service.
 func TestColdStart(t *testing.T) {
