--- a/pkg/route/balancer_test.go
+++ b/pkg/route/balancer_test.go
@@ -264,3 +264,18 @@
 	}
 	assert.Equal(t, len(chosen), 2)
 }
+
+// TestBetterOfTwo guards against calls sent to a full endpoint while the other
+// one drawn has free slots.
+func TestBetterOfTwo(t *testing.T) {
+	b, service, list := testBalancer(5), &config.Service{Name: "s"}, endpoints("a", "v1", 10)
+	s := b.state(service.Name, list, epoch)
+	full := s.targets[list[3].GetName()]
+	full.load, full.loadAt = &pb.Load{Slots: 10, InUse: 10}, epoch
+	s.mu.Unlock()
+	for range 1000 {
+		e, err := pickAndEnd(b, service, list, epoch, func(*pb.Endpoint) verdict { return verdictNeutral })
+		assert.NilError(t, err)
+		assert.Assert(t, e != list[3])
+	}
+}
