--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"nutmegstand.example/nutmegstand/pkg/pb"
@@ -35,6 +36,10 @@
 	// softCancelGrace lets a concurrent send finish before a cancelled stream
 	// closes its connection.
 	softCancelGrace = 5 * time.Millisecond
+	// keepBufferBytes is the size of the frames and of the largest buffer that an
+	// open stream keeps. A distributor has hundreds of streams whose first
+	// message is 20 KB or more and whose later ones are tens of bytes.
+	keepBufferBytes = 8 << 10
 	// maxMessageBytes bounds one drpc message; bodies are sent in smaller frames.
 	maxMessageBytes = 4 << 20
 )
@@ -65,6 +70,7 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:          drpcstream.Options{SplitSize: keepBufferBytes, MaximumBufferSize: keepBufferBytes},
 		SoftCancel:      true,
 		SoftCancelGrace: softCancelGrace,
 	}
@@ -105,6 +111,17 @@
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// Warm opens a connection to address and keeps it idle, so that the first
+// stream to a new peer does not wait for a connection.
+func (p *Peers) Warm(ctx context.Context, address string) error {
+	conn, err := p.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.pool.Put(address, conn)
+	return nil
+}
+
 // Close closes the idle connections.
 func (p *Peers) Close() error { return p.pool.Close() }
 
--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -123,8 +123,19 @@
 	return next
 }
 
+// hasIdempotent reports whether idempotent routes bring enough attempts to go
+// first. A route without traffic would bring no evidence, and the move would
+// wait for it beyond its set time.
 func (j *Judge) hasIdempotent() bool {
-	return slices.Contains(slices.Collect(maps.Values(j.plan.Routes)), true)
+	var idempotent, all uint64
+	for name, t := range j.totals {
+		n := t.Old.Attempts + t.New.Attempts
+		all += n
+		if j.plan.Routes[name] {
+			idempotent += n
+		}
+	}
+	return float64(idempotent) >= leadingTraffic*float64(all) && idempotent > 0
 }
 
 // hasOther reports whether there are routes that are not idempotent.
