Take the lease of an earlier process of the same daemon at once

Cause: when all daemons of a failure domain were killed and restarted, each waited for the leases of its own dead processes (6 s), and, with no successor named any more, up to 10 s before it contended at all. The domain held no configuration meanwhile; the bound for a daemon that returns is 8 s.

Change: a record whose holder is an earlier process of the same daemon at the same address is free: that process has ended, because this one listens on its address. A daemon that finds such a record for a slot of its domain when it joins contends for that slot first. Fencing numbers grow as before.

A domain whose daemons all return under other names or addresses still waits out the leases.

--- a/pkg/daemon/rollout.go
+++ b/pkg/daemon/rollout.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 
 	"go.uber.org/zap"
@@ -61,7 +60,7 @@
 func (d *Daemon) runController(ctx context.Context, distributor *domain.Distributor, shard int) {
 	l := lease.New(lease.Options{
 		Store: d.store, Key: fmt.Sprintf("lease/rollout/%d", shard),
-		Holder:  d.settings.Name + "/" + strconv.FormatUint(d.member.Incarnation(), 10),
+		Holder:  lease.HolderName(d.settings.Name, d.member.Incarnation()),
 		Address: d.settings.Advertise, Logger: d.logger,
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Submit: d.tasks.Submit,
--- a/pkg/domain/entries.go
+++ b/pkg/domain/entries.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,6 +29,7 @@
 
 type leaseEntry struct {
 	domain string
+	slot   int
 	record lease.Record
 }
 
@@ -42,7 +44,7 @@
 			found.head = head
 			continue
 		}
-		domain, ok := leaseDomain(object.Key)
+		domain, slot, ok := leaseDomain(object.Key)
 		if !ok {
 			continue
 		}
@@ -51,7 +53,7 @@
 			return found, err
 		}
 		if record.Holder != "" {
-			found.leases = append(found.leases, leaseEntry{domain: domain, record: record})
+			found.leases = append(found.leases, leaseEntry{domain: domain, slot: slot, record: record})
 		}
 	}
 	return found, nil
@@ -65,14 +67,18 @@
 	return head, nil
 }
 
-// leaseDomain returns the domain of a distributor lease key.
-func leaseDomain(key string) (string, bool) {
+// leaseDomain returns the domain and the slot of a distributor lease key.
+func leaseDomain(key string) (string, int, bool) {
 	rest, ok := strings.CutPrefix(key, "entry/distributor/")
 	if !ok {
-		return "", false
+		return "", noSlot, false
 	}
-	domain, _, ok := strings.Cut(rest, "/")
-	return domain, ok
+	domain, number, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", noSlot, false
+	}
+	slot, err := strconv.Atoi(number)
+	return domain, slot, err == nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/domain/member.go
+++ b/pkg/domain/member.go
@@ -41,6 +41,7 @@
 	alone         time.Time           // since when no distributor is connected
 	storeDown     time.Time           // since when the store failed, zero if it answered last
 	floor         floorState
+	formerSlot    int // of an earlier process of this daemon, noSlot if none
 	leaving       bool
 
 	changed chan struct{} // closed and replaced when waiters should look again
@@ -56,7 +57,7 @@
 		o: o, random: newRandom(o.Seed, o.Name), peers: link.NewPeers(o.Dial), table: NewTable(),
 		incarnation: uint64(now.UnixMilli()), own: map[recordKey]*pb.Record{}, feeds: map[string]*feed{},
 		entries: map[string][]string{}, alone: now, changed: make(chan struct{}),
-		wake: make(chan struct{}, 1), swapped: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), swapped: make(chan struct{}, 1), formerSlot: noSlot,
 	}
 }
 
--- a/pkg/domain/memberrun.go
+++ b/pkg/domain/memberrun.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/config"
+	"nutmegstand.example/nutmegstand/pkg/lease"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 )
 
@@ -248,7 +249,8 @@
 	m.noteStore(nil)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.floor.known {
+	first := !m.floor.known
+	if first {
 		m.setFloorLocked(found.head.Version, true)
 	}
 	m.entries = map[string][]string{}
@@ -257,6 +259,9 @@
 		m.entries[e.domain] = append(m.entries[e.domain], e.record.Address)
 		if e.domain == m.o.Domain {
 			own = append(own, e.record.Address)
+			if first && e.record.Address == m.o.Address && lease.Owner(e.record.Holder) == m.o.Name {
+				m.formerSlot = e.slot
+			}
 		}
 	}
 	if m.liveLocked() == 0 {
@@ -265,6 +270,17 @@
 	notify(m.wake)
 }
 
+// takeFormerSlot returns, once, the slot whose lease an earlier process of this
+// daemon held when it ended. Nobody else feeds the domain from that slot until
+// the lease has run out.
+func (m *Member) takeFormerSlot() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slot := m.formerSlot
+	m.formerSlot = noSlot
+	return slot
+}
+
 // learnFloorLocked takes the floor from the distributors when the store has
 // not given it: the larger of both, or the first after a wait.
 func (m *Member) learnFloorLocked() {
--- a/pkg/domain/server.go
+++ b/pkg/domain/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,6 +106,10 @@
 		if vacantSince.IsZero() {
 			vacantSince = time.Now()
 		}
+		if slot := s.member.takeFormerSlot(); slices.Contains(vacant, slot) {
+			s.contend(ctx, slot)
+			continue
+		}
 		rank, named := s.rank()
 		if rank < 0 && time.Since(vacantSince) < s.turn(named, patience) {
 			continue
@@ -162,7 +165,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sleep(ctx, s.random.upTo(contendJitter))
-	holder := s.o.Name + "/" + strconv.FormatUint(s.member.Incarnation(), 10)
+	holder := lease.HolderName(s.o.Name, s.member.Incarnation())
 	l := lease.New(lease.Options{
 		Store: s.o.Store, Key: slotKey(s.o.Domain, slot), Holder: holder, Address: s.o.Address,
 		Logger: s.o.Logger, Rand: s.random.child(), Submit: s.o.submit,
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -15,6 +15,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +46,8 @@
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 3 * time.Second
+
+	holderSeparator = "/"
 )
 
 var (
@@ -91,8 +95,10 @@
 	Store store.Store
 	Key   string
 	// Holder must differ between two runs of the same daemon; a record that
-	// names it is taken for this process's own.
-	Holder  string
+	// names it is taken for this process's own. HolderName makes one.
+	Holder string
+	// Address is where this process listens, if it does. A lease of an earlier
+	// process of the same daemon at the same address is taken at once.
 	Address string
 	Logger  *zap.Logger
 	// Rand spreads the calls of contenders. It is used by Run only.
@@ -201,7 +207,7 @@
 			seen, seenAt = revision, now
 		}
 		term := max(l.o.Term, time.Duration(record.TermMS)*time.Millisecond)
-		free := record.Holder == "" || record.Holder == l.o.Holder || now.Sub(seenAt) >= term
+		free := record.Holder == "" || record.Holder == l.o.Holder || l.ownEarlier(record) || now.Sub(seenAt) >= term
 		if !free {
 			backoff = minBackoff
 			l.sleep(ctx, seenAt.Add(term).Sub(now)+l.jitter(contendJitter))
@@ -219,6 +225,27 @@
 	}
 }
 
+// ownEarlier reports whether an earlier process of this daemon holds the lease.
+// That process has ended, because this one listens on its address, so there is
+// no term to wait for.
+func (l *Lease) ownEarlier(r Record) bool {
+	return l.o.Address != "" && r.Address == l.o.Address && Owner(r.Holder) != "" && Owner(r.Holder) == Owner(l.o.Holder)
+}
+
+// HolderName returns the holder that stands for one process of a daemon.
+func HolderName(daemon string, incarnation uint64) string {
+	return daemon + holderSeparator + strconv.FormatUint(incarnation, 10)
+}
+
+// Owner returns the daemon of a holder made by HolderName, empty for others.
+func Owner(holder string) string {
+	daemon, _, ok := strings.Cut(holder, holderSeparator)
+	if !ok {
+		return ""
+	}
+	return daemon
+}
+
 func (l *Lease) read(ctx context.Context) (Record, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -301,3 +301,34 @@
 		synctest.Wait()
 	})
 }
+
+// TestEarlierProcess guards against a restarted daemon that waits a whole term
+// for a lease that its own earlier process left behind, and against one that
+// takes the lease of a process that may still run: another daemon's, or one of
+// its name at another address.
+func TestEarlierProcess(t *testing.T) {
+	for _, c := range []struct {
+		holder, address string
+		atOnce          bool
+	}{
+		{HolderName("a", 2), "10.0.0.1:7000", true},
+		{HolderName("a", 2), "10.0.0.2:7000", false},
+		{HolderName("b", 1), "10.0.0.1:7000", false},
+		{HolderName("a", 2), "", false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			backing := standin.New(1)
+			earlier := New(Options{Store: backing, Key: testKey, Holder: HolderName("a", 1), Address: "10.0.0.1:7000"})
+			_, err := earlier.take(t.Context(), Record{}, 0)
+			assert.NilError(t, err)
+			start := time.Now()
+			later := New(Options{Store: backing, Key: testKey, Holder: c.holder, Address: c.address})
+			h, err := later.acquire(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, h.record.Fencing, uint64(2))
+			took := time.Since(start)
+			assert.Equal(t, took == 0, c.atOnce, "%s at %q took %s", c.holder, c.address, took)
+			assert.Assert(t, c.atOnce || took >= DefaultTerm)
+		})
+	}
+}
