--- a/test/scenario/checks.go
+++ b/test/scenario/checks.go
@@ -161,6 +161,9 @@
 	return nil
 }
 
+// logDelay is longer than a daemon keeps log lines in its buffer.
+const logDelay = 2 * time.Second
+
 // checkFloor: check floor NAME VERSION. The last start of the daemon learned
 // the floor from distributors, not from the store.
 func (m *mesh) checkFloor(args []string) error {
@@ -171,17 +174,20 @@
 	if err != nil {
 		return err
 	}
-	var last logLine
-	err = m.log(args[0], func(line logLine) {
-		if line.Event == eventFloorLearned {
-			last = line
+	// The daemon writes its log with a delay.
+	return m.eventually(logDelay, func() error {
+		var last logLine
+		err := m.log(args[0], func(line logLine) {
+			if line.Event == eventFloorLearned {
+				last = line
+			}
+		})
+		if err != nil {
+			return err
+		}
+		if last.FromStore == nil || *last.FromStore || last.Version != want {
+			return fmt.Errorf("%s learned floor %d, from the store: %t", args[0], last.Version, last.FromStore == nil || *last.FromStore)
 		}
+		return nil
 	})
-	if err != nil {
-		return err
-	}
-	if last.FromStore == nil || *last.FromStore || last.Version != want {
-		return fmt.Errorf("%s learned floor %d, from the store: %v", args[0], last.Version, last.FromStore)
-	}
-	return nil
 }
