Keep the suspect records of several daemons apart

Cause: the key of a suspect record was the fingerprint alone, so of the records of two daemons only that with the higher incarnation held, and the crashes of the other were not counted. Whether a request was refused after two crashes depended on the order in which the daemons had started.

Change: the key names the daemon too.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -29,7 +29,7 @@
 		Endpoints:     endpoints.Endpoints,
 		Holds:         d.holds,
 		ConfigVersion: func() uint64 { return d.member.Snapshot().Version() },
-		Suspects:      suspectPublisher{d.member},
+		Suspects:      suspectPublisher{name: d.settings.Name, records: d.member},
 		Forward: func(ctx context.Context, head *pb.CallHead, body []byte) (*pb.AnswerHead, []byte) {
 			return d.router.Forward(ctx, head, body)
 		},
@@ -64,13 +64,17 @@
 }
 
 // suspectPublisher spreads the requests that were in flight at a crash.
-type suspectPublisher struct{ records target.RecordPublisher }
+type suspectPublisher struct {
+	name    string // of this daemon
+	records target.RecordPublisher
+}
 
-// PublishSuspect implements target.SuspectPublisher.
+// PublishSuspect implements target.SuspectPublisher. The key names the daemon:
+// crashes of several targets are added up, so no record may replace another's.
 func (p suspectPublisher) PublishSuspect(service string, suspect *pb.Suspect) {
 	p.records.Publish(&pb.Record{
 		Kind: pb.RecordKind_RECORD_SUSPECT, Service: service,
-		Key: strconv.FormatUint(suspect.GetFingerprint(), 16), Payload: encode(suspect),
+		Key: strconv.FormatUint(suspect.GetFingerprint(), 16) + "/" + p.name, Payload: encode(suspect),
 	})
 }
 
