Send a call no further after two targets ended on it

Cause: the three attempts of an idempotent call are faster than the suspect records, so one call could crash three targets.

Change: after two attempts in which the target ended before its answer, the call is not sent again. Target sides refuse after two crashes as well.

--- a/pkg/route/flight.go
+++ b/pkg/route/flight.go
@@ -13,6 +13,11 @@
 	"nutmegstand.example/nutmegstand/pkg/route/chain"
 )
 
+// maxCuts is the number of attempts that may end with the target. Target sides
+// refuse a request after two crashes, but the retries of one call are faster
+// than the records that tell of them.
+const maxCuts = 2
+
 // flight is one call on its way.
 type flight struct {
 	router   *Router
@@ -26,6 +31,7 @@
 	uncertain error    // an earlier attempt may have run
 	failed    *Answer  // an earlier attempt's answer, which says failure
 	refused   error    // an earlier attempt's refusal
+	cuts      int      // attempts in which the target ended before its answer
 	// key is kept over attempts; it is the caller's or the one assigned.
 	key       string
 	createdMS int64
@@ -106,6 +112,9 @@
 	reply, err := f.router.options.Sender.Send(ctx, p.target.endpoint.GetAddress(), f.head(version), f.call.Body)
 	now := time.Now()
 	result := f.result(ctx, reply, err, now.Sub(start))
+	if err == nil && (result.Crashed || result.Outcome == pb.Outcome_OUTCOME_UNKNOWN) {
+		f.cuts++
+	}
 	verdict := judge(&result, err)
 	if p.target.endpoint.GetVersion() != version && verdict != verdictGone {
 		verdict = verdictNeutral // the home sent the call on to another target
@@ -291,6 +300,9 @@
 	if f.decision.Attempts == 0 {
 		return false // nothing could be chosen
 	}
+	if f.cuts >= maxCuts {
+		return false // the next target may not know yet that the request is suspect
+	}
 	var notRun *NotRunError
 	var unknown *UnknownError
 	switch {
--- a/pkg/route/router_test.go
+++ b/pkg/route/router_test.go
@@ -74,12 +74,14 @@
 }
 
 // TestOutcomeIsTrue guards against a "not run" for a call that may have run, a
-// cut answer passed off as whole, and a repeat of a call that must not repeat.
+// cut answer passed off as whole, and a repeat of a call that must not repeat,
+// such as one that has crashed two targets.
 func TestOutcomeIsTrue(t *testing.T) {
 	cut := routetest.Answer(200, make([]byte, 600<<10))
 	cut.Cut = true
 	whole := routetest.Answer(200, []byte("whole"))
 	overload := routetest.Refuse(pb.Refusal_REFUSAL_OVERLOAD)
+	ended := routetest.Result{Head: &pb.AnswerHead{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: "cut", Crashed: true}}
 	cases := []struct {
 		name     string
 		call     *route.Call
@@ -96,6 +98,8 @@
 		{"non-idempotent call after a refusal", post(""), []routetest.Result{overload, whole}, "answered", 2},
 		{"keyed call at its home only", post("k"), []routetest.Result{overload, whole}, "not-run", 1},
 		{"suspect request", get(), []routetest.Result{routetest.Refuse(pb.Refusal_REFUSAL_SUSPECT), whole}, "not-run", 1},
+		{"idempotent call after a crash", get(), []routetest.Result{ended, whole}, "answered", 2},
+		{"idempotent call after two crashes", get(), []routetest.Result{ended, ended, whole}, "unknown", 2},
 		{"failed answer kept when the retry is refused", get(), []routetest.Result{routetest.Answer(500, nil), overload, overload}, "answered", 3},
 	}
 	for _, c := range cases {
