Judge the bytes of a distributor in a mass restart

Cause: the line of the busiest distributor in a mass restart had no bound, though 9,000 B/s is stated for each daemon.

Change: the line has its own test with the bound, at the size of a domain at the target, and is listed in KNOWN-RED.txt.

--- a/test/measure/domain/bytes.go
+++ b/test/measure/domain/bytes.go
@@ -38,18 +38,9 @@
 	domaintest.Run(t, domainShape(seed), func(t *testing.T, f *domaintest.Fleet) {
 		f.Start()
 		time.Sleep(quiet)
-		emitBytes(t, f, "idle", report.Bound(bytesBound), func() { time.Sleep(minute) })
-		emitBytes(t, f, "churn", report.Bound(bytesBound), func() { churn(f, minute) })
-		emitBytes(t, f, "mass restart", nil, func() {
-			var nodes []*domaintest.Node
-			for _, n := range f.Nodes {
-				if n.Server.Distributor() == nil {
-					nodes = append(nodes, n)
-				}
-			}
-			restart(nodes)
-			time.Sleep(minute)
-		})
+		emitBytes(t, f, "idle", func() { time.Sleep(minute) })
+		emitBytes(t, f, "churn", func() { churn(f, minute) })
+		emitBytes(t, f, "mass restart", func() { restartMembers(f) })
 		emit(t, "reverts", "control bytes", seed, float64(f.Reverts()), "count", report.Bound(0))
 	})
 	domaintest.Run(t, domainShape(seed), func(t *testing.T, f *domaintest.Fleet) {
@@ -62,6 +53,31 @@
 	})
 }
 
+// restartMembers restarts every daemon that is no distributor and waits.
+func restartMembers(f *domaintest.Fleet) {
+	var nodes []*domaintest.Node
+	for _, n := range f.Nodes {
+		if n.Server.Distributor() == nil {
+			nodes = append(nodes, n)
+		}
+	}
+	restart(nodes)
+	time.Sleep(minute)
+}
+
+// measureStorm emits the bytes of the busiest distributor in the minute of a
+// mass restart, always at the target size of a domain. It is apart from the
+// other cases because it is out of bound.
+func measureStorm(t *testing.T) {
+	shape := domaintest.Shape{Domains: 1, PerDomain: 267, Services: 32, Depends: 4, Seed: judged[0], Wrap: limit}
+	domaintest.Run(t, shape, func(t *testing.T, f *domaintest.Fleet) {
+		f.Start()
+		time.Sleep(quiet)
+		busiest := countBytes(f, func() { restartMembers(f) }).distributor
+		emit(t, "control_bytes", "mass restart, busiest distributor", f.Seed(), busiest, "B/s", report.Bound(bytesBound))
+	})
+}
+
 // churn changes the configuration and endpoints for a while.
 func churn(f *domaintest.Fleet, d time.Duration) {
 	end := time.Now().Add(d)
@@ -99,8 +115,15 @@
 	}
 }
 
-func emitBytes(t *testing.T, f *domaintest.Fleet, name string, distributorBound *float64, body func()) {
-	t.Helper()
+// byteRates are bytes per second over one case.
+type byteRates struct {
+	mean        float64 // of all daemons
+	member      float64 // mean of the daemons that are no distributors
+	busiest     float64 // of those
+	distributor float64 // the busiest one
+}
+
+func countBytes(f *domaintest.Fleet, body func()) byteRates {
 	before := map[string]int64{}
 	feeds := map[string]bool{}
 	for _, n := range f.Nodes {
@@ -110,25 +133,36 @@
 	start := time.Now()
 	body()
 	seconds := time.Since(start).Seconds()
-	var total, worst, busiest, members, count float64
+	var r byteRates
+	var total, members, count float64
 	for _, n := range f.Nodes {
 		rate := float64(f.Network.Bytes(n.Name)-before[n.Name]) / seconds
 		total += rate
 		if feeds[n.Name] {
-			busiest = max(busiest, rate)
+			r.distributor = max(r.distributor, rate)
 			continue
 		}
-		worst = max(worst, rate)
+		r.busiest = max(r.busiest, rate)
 		members += rate
 		count++
 	}
-	mean := total / float64(len(f.Nodes))
-	emit(t, "control_bytes", name+", mean of all daemons", f.Seed(), mean, "B/s", report.Bound(bytesBound))
-	emit(t, "control_bytes", name+", mean of member daemons", f.Seed(), members/count, "B/s", report.Bound(bytesBound))
-	emit(t, "control_bytes", name+", busiest member daemon", f.Seed(), worst, "B/s", report.Bound(bytesBound))
-	emit(t, "control_bytes", name+", busiest distributor", f.Seed(), busiest, "B/s", distributorBound)
+	r.mean, r.member = total/float64(len(f.Nodes)), members/count
+	return r
+}
+
+func emitBytes(t *testing.T, f *domaintest.Fleet, name string, body func()) {
+	t.Helper()
+	r := countBytes(f, body)
+	bound := report.Bound(bytesBound)
+	emit(t, "control_bytes", name+", mean of all daemons", f.Seed(), r.mean, "B/s", bound)
+	emit(t, "control_bytes", name+", mean of member daemons", f.Seed(), r.member, "B/s", bound)
+	emit(t, "control_bytes", name+", busiest member daemon", f.Seed(), r.busiest, "B/s", bound)
+	if name == "mass restart" {
+		return // see measureStorm
+	}
+	emit(t, "control_bytes", name+", busiest distributor", f.Seed(), r.distributor, "B/s", bound)
 	if name == "idle" {
-		emit(t, "control_bytes", "idle goal, mean of all daemons", f.Seed(), mean, "B/s", report.Bound(idleBytesGoal))
+		emit(t, "control_bytes", "idle goal, mean of all daemons", f.Seed(), r.mean, "B/s", report.Bound(idleBytesGoal))
 	}
 }
 
--- a/test/measure/domain/measure_test.go
+++ b/test/measure/domain/measure_test.go
@@ -11,3 +11,6 @@
 func TestStoreCalls(t *testing.T) { measureStoreCalls(t) }
 
 func TestControlCost(t *testing.T) { measureCost(t) }
+
+// TestStormAtDistributor is listed in KNOWN-RED.txt.
+func TestStormAtDistributor(t *testing.T) { measureStorm(t) }
