Keep the earlier stay of a daemon that was killed and restarted

Cause: the endpoint record of a restarted daemon replaced that of its earlier process, which has a later time of eligibility. Keys created before then got another home, although the earlier process may have run them.

Change: a table that holds both records keeps the earlier one as a departed endpoint for 10 minutes, in any order of arrival, and passes it on. It does not count in the digest of the records, since a distributor that was restarted too may not know it. A daemon that only raised its incarnation keeps its place.

Conclusion: a restart no longer moves keys that may have run.

--- a/pkg/domain/record.go
+++ b/pkg/domain/record.go
@@ -162,9 +162,10 @@
 }
 
 // digestOf is one record's part of a service's digest, which combines records
-// by exclusive or, so their order does not matter.
+// by exclusive or, so their order does not matter. An earlier stay is known only
+// to those who knew the daemon before its restart, which is no fault to repair.
 func digestOf(r *pb.Record) uint64 {
-	if !distributed(r.GetKind()) {
+	if !distributed(r.GetKind()) || isEarlierStay(r) {
 		return 0
 	}
 	d := xxhash.New()
--- a/pkg/domain/table.go
+++ b/pkg/domain/table.go
@@ -93,10 +93,10 @@
 }
 
 // Apply adds a record and reports whether it holds against the one before it.
-func (t *Table) Apply(r *pb.Record) bool { return len(t.ApplyAll([]*pb.Record{r})) == 1 }
+func (t *Table) Apply(r *pb.Record) bool { return slices.Contains(t.ApplyAll([]*pb.Record{r}), r) }
 
-// ApplyAll adds records and returns those that hold. The table keeps the
-// records; the caller must not change them afterwards.
+// ApplyAll adds records and returns those that hold, with the earlier stays of
+// restarted daemons that they tell of. The table keeps the records; the caller must not change them afterwards.
 func (t *Table) ApplyAll(records []*pb.Record) []*pb.Record {
 	if len(records) == 0 {
 		return nil
@@ -107,39 +107,54 @@
 	dirty := map[string]bool{}
 	var applied []*pb.Record
 	for _, r := range records {
-		if t.applyLocked(r, now, dirty) {
-			applied = append(applied, r)
-		}
+		applied = t.applyLocked(applied, r, now, dirty)
 	}
 	t.publishLocked(dirty)
 	return applied
 }
 
-func (t *Table) applyLocked(r *pb.Record, now time.Time, dirty map[string]bool) bool {
+// applyLocked adds a record and appends what holds to applied.
+func (t *Table) applyLocked(applied []*pb.Record, r *pb.Record, now time.Time, dirty map[string]bool) []*pb.Record {
 	e, ok := newEntry(r, now)
 	if !ok {
-		return false
+		return applied
 	}
 	if r.GetKind() == pb.RecordKind_RECORD_LIVENESS && r.GetService() == "" {
-		return t.applyDomainLocked(e, dirty)
+		if t.applyDomainLocked(e, dirty) {
+			applied = append(applied, r)
+		}
+		return applied
 	}
 	s := t.services[r.GetService()]
 	if s == nil {
 		s = &serviceRecords{entries: map[recordKey]*entry{}}
 		t.services[r.GetService()] = s
 	}
-	key := keyOf(r)
-	old := s.entries[key]
+	old := s.entries[keyOf(r)]
+	earlier, later := old, e
+	if old != nil && !newer(r, old.record) {
+		earlier, later = e, old
+	} else {
+		applied = append(applied, s.set(old, e))
+		dirty[r.GetService()] = true
+	}
+	if earlier == nil {
+		return applied
+	}
+	if stay := earlierStay(earlier, later, s.entries[livenessKey(r)]); stay != nil {
+		return t.applyLocked(applied, stay, now, dirty)
+	}
+	return applied
+}
+
+// set replaces an entry, which may be nil, and returns the new record.
+func (s *serviceRecords) set(old, e *entry) *pb.Record {
 	if old != nil {
-		if !newer(r, old.record) {
-			return false
-		}
 		s.digest ^= digestOf(old.record)
 	}
-	s.digest ^= digestOf(r)
-	s.entries[key] = e
-	dirty[r.GetService()] = true
-	return true
+	s.digest ^= digestOf(e.record)
+	s.entries[keyOf(e.record)] = e
+	return e.record
 }
 
 // applyDomainLocked adds an observation of a whole domain. The endpoints of
--- a/pkg/domain/table_test.go
+++ b/pkg/domain/table_test.go
@@ -109,3 +109,56 @@
 	stop()
 	assert.Equal(t, testing.AllocsPerRun(100, func() { _ = table.Endpoints("s") }), 0.0)
 }
+
+// TestRestartKeepsEarlierStay guards against a key that runs again because its
+// home was restarted: the earlier process must stay known as a departed home, in
+// any order of arrival, until its keys have expired. A daemon that only raised
+// its incarnation has kept its keys and is not restarted.
+func TestRestartKeepsEarlierStay(t *testing.T) {
+	const started = 5000
+	endpoint := func(incarnation, counter uint64, eligible int64) *pb.Record {
+		r := endpointRecord("n", incarnation, counter, pb.EndpointState_ENDPOINT_READY)
+		r.Payload = mustMarshal(&pb.Endpoint{Name: "n", Service: "s", Domain: "d", EligibleSinceMs: eligible, State: pb.EndpointState_ENDPOINT_READY})
+		return r
+	}
+	before, after := endpoint(1000, 3, 1100), endpoint(started, 1, 5100)
+	lost := newLiveness(before, &pb.Endpoint{Name: "n", Domain: "d"}, false, time.UnixMilli(4000))
+	departed := newLiveness(before, &pb.Endpoint{Name: "n", Domain: "d"}, true, time.UnixMilli(4000))
+	for _, c := range []struct {
+		records []*pb.Record
+		ended   int64 // 0 if there is no earlier stay
+	}{
+		{[]*pb.Record{before, after}, started},
+		{[]*pb.Record{after, before}, started},
+		{[]*pb.Record{before, lost, after}, started},
+		{[]*pb.Record{before, departed, after}, 4000},
+		{[]*pb.Record{before, endpoint(started, 1, 1100)}, 0},
+		{[]*pb.Record{after}, 0},
+	} {
+		table := NewTable()
+		applied := table.ApplyAll(c.records)
+		var stays []*Endpoint
+		for _, e := range table.Endpoints("s") {
+			if e.GetDepartedMs() != 0 {
+				stays = append(stays, e)
+			}
+		}
+		if c.ended == 0 {
+			assert.Equal(t, len(stays), 0)
+			continue
+		}
+		assert.Equal(t, len(stays), 1)
+		assert.Equal(t, stays[0].GetDepartedMs(), c.ended)
+		assert.Equal(t, stays[0].GetEligibleSinceMs(), int64(1100))
+		assert.Equal(t, len(table.Endpoints("s")), 2)
+		assert.Assert(t, isEarlierStay(applied[len(applied)-1]), "the stay is not passed on")
+		fresh := NewTable()
+		fresh.Apply(after)
+		assert.Equal(t, table.Digest([]string{"s"}) == fresh.Digest([]string{"s"}), len(c.records) == 2)
+		now := time.Now()
+		table.Sweep(now.Add(departKeep - time.Second))
+		assert.Equal(t, len(table.Endpoints("s")), 2)
+		table.Sweep(now.Add(departKeep + time.Second))
+		assert.Equal(t, len(table.Endpoints("s")), 1)
+	}
+}
--- a/pkg/domain/tablescan.go
+++ b/pkg/domain/tablescan.go
@@ -113,6 +113,9 @@
 	case pb.RecordKind_RECORD_LIVENESS:
 		return saysDeparted(e.record) && age > departKeep
 	case pb.RecordKind_RECORD_ENDPOINT:
+		if isEarlierStay(e.record) {
+			return age > departKeep
+		}
 		l := s.entries[livenessKey(e.record)]
 		return l != nil && concerns(l.record, e.record) && saysDeparted(l.record) && now.Sub(l.at) > departKeep
 	}
