Add scenarios of kills, crashing requests and moves

Cause: six of the nine cases had no scenario yet, and orders were given up before a restarted home could show.

Change: scenarios for orders under kills, a request that crashes targets, a bad version with its controller killed or the store down, and a paused controller. Orders without an answer are sent again later.

--- a/test/scenario/checks.go
+++ b/test/scenario/checks.go
@@ -53,15 +53,17 @@
 	return m.reach(ts, args, func() error { return m.serving(m.up()) })
 }
 
-// cmdLoad: load start|stop.
-func cmdLoad(m *mesh, _ *testscript.TestScript, args []string) error {
+// cmdLoad: load start|stop|repeat.
+func cmdLoad(m *mesh, ts *testscript.TestScript, args []string) error {
 	switch {
 	case len(args) == 1 && args[0] == "start":
 		m.load.begin()
 	case len(args) == 1 && args[0] == "stop":
 		m.load.end()
+	case len(args) == 1 && args[0] == "repeat":
+		ts.Logf("%d orders sent again", m.load.repeatUnanswered())
 	default:
-		return errors.New("needs start or stop")
+		return errors.New("needs start, stop or repeat")
 	}
 	return nil
 }
@@ -96,6 +98,12 @@
 		return m.checkDrained(rest)
 	case "floor":
 		return m.checkFloor(rest)
+	case "stopped":
+		return m.checkStopped(rest)
+	case "crashed":
+		return m.checkCrashed(rest)
+	case "raised":
+		return m.checkRaised(rest)
 	default:
 		return fmt.Errorf("unknown check %s", what)
 	}
--- a/test/scenario/client.go
+++ b/test/scenario/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -93,6 +94,24 @@
 	return s, m.query(v, admin.PathStatus, &s)
 }
 
+// moveStatus returns the state of a move as any daemon tells it.
+func (m *mesh) moveStatus(name string) (admin.MoveStatus, error) {
+	err := errors.New("no daemon is up")
+	for _, v := range m.up() {
+		var list []admin.MoveStatus
+		if err = m.query(v, admin.PathMoves, &list); err != nil {
+			continue
+		}
+		for _, s := range list {
+			if s.Move == name {
+				return s, nil
+			}
+		}
+		err = fmt.Errorf("%s knows no move %q", v.name, name)
+	}
+	return admin.MoveStatus{}, err
+}
+
 // nutmegctl runs a command in this process against one daemon.
 func (m *mesh) nutmegctl(v *vm, command string, args ...string) (stdout, stderr string, code int) {
 	var out, problems bytes.Buffer
--- a/test/scenario/commands.go
+++ b/test/scenario/commands.go
@@ -52,6 +52,7 @@
 		"kill-vm": cmdKill, "pause": cmdPause, "resume": cmdResume, "stop-vm": cmdStop, "restart": cmdRestart,
 		"apply": cmdApply, "race": cmdRace, "converged": cmdConverged, "settled": cmdSettled, "serving": cmdServing,
 		"load": cmdLoad, "sleep": cmdSleep, "check": cmdCheck,
+		"fault": cmdFault, "share": cmdShare, "move": cmdMove, "poison": cmdPoison,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range commands {
--- a/test/scenario/load.go
+++ b/test/scenario/load.go
@@ -195,6 +195,29 @@
 	return seen.kind == outcomeAnswered
 }
 
+// repeatUnanswered sends each order without an answer again, as callers do that
+// come back later, and returns how many.
+func (l *load) repeatUnanswered() int {
+	l.end()
+	var wg sync.WaitGroup
+	places := make(chan struct{}, orderWorkers)
+	sent := 0
+	for i, o := range l.orders {
+		if o.answered() {
+			continue
+		}
+		sent++
+		places <- struct{}{}
+		wg.Go(func() {
+			l.attempt(o, i)
+			<-places
+		})
+	}
+	wg.Wait()
+	l.ended = time.Now()
+	return sent
+}
+
 // homeDeparted is the reason of an outcome that stays unknown because the home
 // of the key has left, by the rule for keys of the design.
 const homeDeparted = "home departed"
@@ -202,9 +225,12 @@
 // unanswered counts a call without an answer.
 func (l *load) unanswered(kind string, r *reply, err error) {
 	text := kind + ": "
-	if err != nil {
+	switch {
+	case err != nil:
 		text += err.Error()
-	} else {
+	case r.outcome == "":
+		text += fmt.Sprintf("status %d of a target of version %s", r.status, r.Version)
+	default:
 		text += fmt.Sprintf("status %d %s %s", r.status, r.outcome, strings.TrimSpace(string(r.body)))
 	}
 	l.problems[text]++
--- a/test/scenario/order.go
+++ b/test/scenario/order.go
@@ -94,6 +94,7 @@
 	}
 	last := int64(0)
 	for _, operation := range o.history {
+		last = max(last, operation.Call)
 		if operation.Return < math.MaxInt64 {
 			last = max(last, operation.Return)
 		}
