--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -15,9 +15,9 @@
 	// an attempt with less time would only spend the retry budget.
 	minAttemptTime = 5 * time.Millisecond
 	maxColdStart   = time.Hour
-	// minMoveTime is the shortest notice of a new move: two steps of 10 s with
+	// minMoveTime is the shortest notice of a new move: three steps of 10 s with
 	// the reserve for waiting do not fit in less.
-	minMoveTime = 30 * time.Second
+	minMoveTime = 40 * time.Second
 	maxHold     = 24 * time.Hour
 	maxMoveTime = 400 * 24 * time.Hour
 )
--- a/test/demo/finish.go
+++ b/test/demo/finish.go
@@ -46,6 +46,29 @@
 	return nil
 }
 
+// sayMemory prints the resident memory of the daemons, with their call path.
+func (d *demo) sayMemory() {
+	var sum, largest, n int
+	for _, v := range d.vms {
+		if !v.daemon.running() {
+			continue
+		}
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.daemon.cmd.Process.Pid))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(status)) {
+			var kilobytes int
+			if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
+				sum, largest, n = sum+kilobytes, max(largest, kilobytes), n+1
+			}
+		}
+	}
+	if n > 0 {
+		d.say("resident memory of a daemon: %.1f MB on average, %.1f MB at most", float64(sum)/float64(n)/1e3, float64(largest)/1e3)
+	}
+}
+
 func exitText(err error) string {
 	if err == nil {
 		return "0"
@@ -73,6 +96,7 @@
 
 // count ends the load and compares what callers were told with what ran.
 func (d *demo) count() error {
+	d.sayMemory()
 	d.load.end()
 	runs, err := d.load.runs()
 	if err != nil {
