Show the evidence of each route in nutmegctl moves

Cause: the report of a move has one line of evidence for each route, but the text output of nutmegctl left it out. Change: the report of each recorded move follows the table. Measured: the scripts of pkg/ctl pass. Conclusion: an operator sees what decided a move without reading logs.

--- a/pkg/ctl/write.go
+++ b/pkg/ctl/write.go
@@ -92,6 +92,11 @@
 				percent(m.Share), percent(m.NonIdempotentShare), m.Reason)
 		}
 	})
+	for _, m := range moves {
+		if m.Detail != nil {
+			fmt.Fprintf(w, "\n%s", m.Detail)
+		}
+	}
 }
 
 func percent(share float64) string { return fmt.Sprintf("%.4g%%", share*100) }
