--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -22,7 +22,7 @@
 	}
 	defer os.Remove(file.Name())
 	defer file.Close()
-	cmd := exec.Command("go", "test", "-count=1", "-timeout=290s", "./test/measure/...")
+	cmd := exec.Command("go", "test", "-count=1", "-timeout=290s", "-p=1", "./test/measure/...")
 	cmd.Env = append(os.Environ(), "NUTMEGSTAND_MEASURE_FULL=1", "NUTMEGSTAND_MEASURE_FILE="+file.Name())
 	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
 	runErr := cmd.Run()
