--- a/test/scenario/load.go
+++ b/test/scenario/load.go
@@ -150,29 +150,29 @@
 	if err != nil {
 		panic("scenario: random source: " + err.Error())
 	}
-	o := &order{id: uuid.NewString(), key: key.String()}
+	o := &order{id: uuid.NewString(), key: key.String(), worker: worker}
 	l.mu.Lock()
 	l.orders = append(l.orders, o)
 	l.mu.Unlock()
 	var twin sync.WaitGroup
 	if rand.IntN(4) == 0 {
-		twin.Go(func() { l.attempt(o, worker) })
+		twin.Go(func() { l.attempt(o) })
 	}
 	for range orderTries {
-		if l.attempt(o, worker) {
+		if l.attempt(o) {
 			break
 		}
 		time.Sleep(loadPause)
 	}
 	if rand.IntN(4) == 0 {
-		l.attempt(o, worker)
+		l.attempt(o)
 	}
 	twin.Wait()
 }
 
 // attempt sends an order once and reports whether it was answered.
-func (l *load) attempt(o *order, worker int) bool {
-	headers := member(worker)
+func (l *load) attempt(o *order) bool {
+	headers := member(o.worker) // a key counts within its member
 	headers["Idempotency-Key"], headers["Order-Id"] = o.key, o.id
 	call := time.Since(l.start)
 	r, err := l.call(exchange{method: consts.MethodPost, url: "/orders", host: ordersHost, body: o.id, headers: headers, timeout: callTimeout})
@@ -202,14 +202,14 @@
 	var wg sync.WaitGroup
 	places := make(chan struct{}, orderWorkers)
 	sent := 0
-	for i, o := range l.orders {
+	for _, o := range l.orders {
 		if o.answered() {
 			continue
 		}
 		sent++
 		places <- struct{}{}
 		wg.Go(func() {
-			l.attempt(o, i)
+			l.attempt(o)
 			<-places
 		})
 	}
--- a/test/scenario/order.go
+++ b/test/scenario/order.go
@@ -28,6 +28,7 @@
 // order is one order with the history of its key.
 type order struct {
 	id, key string
+	worker  int // its member sends all attempts
 	mu      sync.Mutex
 	history []porcupine.Operation
 }
