Start child processes of demo and scenarios by one package

Cause: the demo and the scenarios each had the same code to start, stop and kill processes; the demo's lacked the thread that outlives its starter, so its children could be killed early.

Change: test/processes serves both.

--- a/test/demo/finish.go
+++ b/test/demo/finish.go
@@ -32,11 +32,11 @@
 func (d *demo) stopGracefully() error {
 	time.Sleep(settle)
 	v := d.vms[2] // the old catalogue of the first domain
-	targetErr := v.target.stop()
+	targetErr := v.target.Stop()
 	v.dead = true // callers learn of it by "Connection: close"
 	time.Sleep(100 * time.Millisecond)
-	daemonErr := v.daemon.stop()
-	cut, err := drainedCut(filepath.Join(d.fleet.logDir, v.daemon.name+".log"))
+	daemonErr := v.daemon.Stop()
+	cut, err := drainedCut(v.daemon.Log)
 	if err != nil {
 		return err
 	}
@@ -50,10 +50,10 @@
 func (d *demo) sayMemory() {
 	var sum, largest, n int
 	for _, v := range d.vms {
-		if !v.daemon.running() {
+		if !v.daemon.Running() {
 			continue
 		}
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.daemon.cmd.Process.Pid))
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.daemon.PID()))
 		if err != nil {
 			continue
 		}
@@ -132,8 +132,8 @@
 
 // shutDown stops everything and looks for what was left behind.
 func (d *demo) shutDown() error {
-	d.fleet.stopAll()
-	left := d.fleet.left()
+	d.fleet.StopAll()
+	left := d.fleet.Left()
 	d.table.add("no process is left behind", len(left) == 0, "%d left after %.0f s", len(left), time.Since(d.began).Seconds())
 	return nil
 }
--- a/test/demo/layout.go
+++ b/test/demo/layout.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/settings"
+
+	"nutmegstand.example/nutmegstand/test/processes"
 )
 
 const (
@@ -26,7 +28,7 @@
 	service, version string
 	faults           []string // flags of the target
 	port             int
-	daemon, target   *process
+	daemon, target   *processes.Process
 	dead             bool
 }
 
@@ -97,18 +99,18 @@
 }
 
 // start starts the daemon and the target of a VM.
-func (v *vm) start(f *fleet, dir, storeAddress string) error {
+func (v *vm) start(f *processes.Fleet, dir, storeAddress string) error {
 	file, err := v.writeSettings(dir, storeAddress)
 	if err != nil {
 		return err
 	}
-	if v.daemon, err = f.start(fmt.Sprintf(processPart, v.name, "daemon"), "nutmegstandd", "-settings", file); err != nil {
+	if v.daemon, err = f.Start(fmt.Sprintf(processPart, v.name, "daemon"), "nutmegstandd", "-settings", file); err != nil {
 		return err
 	}
 	flags := append([]string{
 		"-listen", v.address(portTarget), "-announce", v.address(portAnnounce), "-local", v.address(portLocal),
 		"-service", v.service, "-version", v.version,
 	}, v.faults...)
-	v.target, err = f.start(fmt.Sprintf(processPart, v.name, "target"), "nutmegtarget", flags...)
+	v.target, err = f.Start(fmt.Sprintf(processPart, v.name, "target"), "nutmegtarget", flags...)
 	return err
 }
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"nutmegstand.example/nutmegstand/test/processes"
 )
 
 // demoTimeout is the longest time of the whole demo.
@@ -57,10 +59,10 @@
 	}
 	d := &demo{
 		ctx: ctx, began: time.Now(), dir: dir, examples: examples, basePort: basePort,
-		fleet: &fleet{binDir: binDir, logDir: logs}, vms: vms, load: calls,
+		fleet: &processes.Fleet{BinDir: binDir, LogDir: logs}, vms: vms, load: calls,
 		control: &control{program: filepath.Join(binDir, "nutmegctl"), tokenFile: token, vms: vms},
 	}
-	defer d.fleet.stopAll()
+	defer d.fleet.StopAll()
 	if err := d.play(); err != nil {
 		return 1, err
 	}
--- a/test/demo/play.go
+++ b/test/demo/play.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/admin"
+
+	"nutmegstand.example/nutmegstand/test/processes"
 )
 
 const (
@@ -36,7 +38,7 @@
 	dir      string
 	examples string
 	basePort int
-	fleet    *fleet
+	fleet    *processes.Fleet
 	vms      []*vm
 	control  *control
 	load     *load
@@ -70,7 +72,7 @@
 
 func (d *demo) boot() error {
 	store := fmt.Sprintf("%s:%d", loopback, d.basePort)
-	if _, err := d.fleet.start("store", "nutmegstore", "-listen", store); err != nil {
+	if _, err := d.fleet.Start("store", "nutmegstore", "-listen", store); err != nil {
 		return err
 	}
 	for _, v := range d.vms {
@@ -157,8 +159,8 @@
 	time.Sleep(killAfter)
 	victim := d.vms[len(kinds)] // an old order desk of the second domain
 	victim.dead = true
-	victim.daemon.kill()
-	victim.target.kill()
+	victim.daemon.Kill()
+	victim.target.Kill()
 	d.say("VM %s killed without notice", victim.name)
 	return nil
 }
--- /dev/null
+++ b/test/demo/poll.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+	"time"
+)
+
+// eventually polls condition until it holds or ctx ends.
+func eventually(ctx context.Context, interval time.Duration, condition func() bool) bool {
+	for {
+		if condition() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(interval):
+		}
+	}
+}
--- a/test/scenario/checks.go
+++ b/test/scenario/checks.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	file, err := os.Open(v.daemon.log)
+	file, err := os.Open(v.daemon.Log)
 	if err != nil {
 		return err
 	}
--- a/test/scenario/commands.go
+++ b/test/scenario/commands.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"nutmegstand.example/nutmegstand/test/processes"
 )
 
 const (
@@ -148,7 +150,7 @@
 // part is one process of a VM.
 type part struct {
 	vm      *vm
-	process *process
+	process *processes.Process
 	daemon  bool
 }
 
@@ -192,7 +194,7 @@
 		if p.daemon {
 			p.vm.avoided.Store(avoid)
 		}
-		if err := p.process.signal(s); err != nil {
+		if err := p.process.Signal(s); err != nil {
 			return err
 		}
 	}
@@ -206,7 +208,7 @@
 	}
 	parts, err := m.parts(args)
 	for _, p := range parts {
-		<-p.process.done
+		_ = p.process.Err() // waits for the end; a killed process has an error
 	}
 	return err
 }
@@ -234,8 +236,8 @@
 		for i, p := range parts {
 			if p.daemon == daemons {
 				wg.Go(func() {
-					if failed[i] = p.process.stop(); failed[i] != nil {
-						failed[i] = fmt.Errorf("%s: %w", p.process.name, failed[i])
+					if failed[i] = p.process.Stop(); failed[i] != nil {
+						failed[i] = fmt.Errorf("%s: %w", p.process.Name, failed[i])
 					}
 					if p.daemon {
 						p.vm.avoided.Store(true)
--- a/test/scenario/mesh.go
+++ b/test/scenario/mesh.go
@@ -18,6 +18,8 @@
 	"nutmegstand.example/nutmegstand/pkg/lease"
 	"nutmegstand.example/nutmegstand/pkg/move"
 	"nutmegstand.example/nutmegstand/pkg/store/httpstore"
+
+	"nutmegstand.example/nutmegstand/test/processes"
 )
 
 const pollInterval = 100 * time.Millisecond
@@ -28,7 +30,7 @@
 type mesh struct {
 	dir       string
 	tokenFile string
-	fleet     *fleet
+	fleet     *processes.Fleet
 	http      *client.Client
 	logf      func(format string, args ...any)
 
@@ -55,7 +57,7 @@
 	}
 	m := &mesh{
 		dir: dir, tokenFile: filepath.Join(dir, "token"), http: c, logf: logf,
-		fleet: &fleet{binDir: binDir, logDir: dir}, marks: map[string]time.Time{},
+		fleet: &processes.Fleet{BinDir: binDir, LogDir: dir}, marks: map[string]time.Time{},
 	}
 	m.watch, m.race = newWatch(m), &race{m: m}
 	m.load = newLoad(m)
@@ -66,7 +68,7 @@
 func (m *mesh) close() {
 	m.load.end()
 	m.watch.end()
-	m.fleet.killAll()
+	m.fleet.KillAll()
 }
 
 func (m *mesh) startStore() error {
@@ -79,7 +81,7 @@
 	if m.store, err = httpstore.NewClient(address, storeTimeout); err != nil {
 		return err
 	}
-	if m.storeVM.daemon, err = m.fleet.start("store", "nutmegstore", "-listen", address); err != nil {
+	if m.storeVM.daemon, err = m.fleet.Start("store", "nutmegstore", "-listen", address); err != nil {
 		return err
 	}
 	return m.eventually(bootTimeout, func() error { return m.setStoreFaults("{}") })
--- a/test/scenario/moves.go
+++ b/test/scenario/moves.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return err
 		}
-		if err := v.target.signal(syscall.SIGUSR1); err != nil {
+		if err := v.target.Signal(syscall.SIGUSR1); err != nil {
 			return err
 		}
 	}
@@ -128,7 +128,7 @@
 	var crashed []string
 	for _, v := range m.all() {
 		var exit *exec.ExitError
-		if !v.target.running() && errors.As(v.target.err, &exit) && exit.ExitCode() == crashCode {
+		if !v.target.Running() && errors.As(v.target.Err(), &exit) && exit.ExitCode() == crashCode {
 			crashed = append(crashed, v.name)
 		}
 	}
--- a/test/scenario/vm.go
+++ b/test/scenario/vm.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/settings"
+
+	"nutmegstand.example/nutmegstand/test/processes"
 )
 
 // Ports of a VM. They lie below the range of ports that the system gives to
@@ -43,7 +45,7 @@
 	service, version string
 	flags            []string // of the target
 	ip               string
-	daemon, target   *process
+	daemon, target   *processes.Process
 	avoided          atomic.Bool // callers were told to go elsewhere, or the VM is down by the script
 }
 
@@ -104,22 +106,22 @@
 }
 
 // start starts what does not run of the VM.
-func (v *vm) start(f *fleet, store string) error {
-	file, err := v.writeSettings(f.logDir, store)
+func (v *vm) start(f *processes.Fleet, store string) error {
+	file, err := v.writeSettings(f.LogDir, store)
 	if err != nil {
 		return err
 	}
-	if !v.daemon.running() {
-		if v.daemon, err = f.start(v.name+"-daemon", "nutmegstandd", "-settings", file); err != nil {
+	if !v.daemon.Running() {
+		if v.daemon, err = f.Start(v.name+"-daemon", "nutmegstandd", "-settings", file); err != nil {
 			return err
 		}
 	}
-	if !v.target.running() {
+	if !v.target.Running() {
 		flags := append([]string{
 			"-listen", v.address(portTarget), "-announce", v.address(portAnnounce), "-local", v.address(portLocal),
-			"-service", v.service, "-version", v.version, "-journal", filepath.Join(f.logDir, v.name+".orders"),
+			"-service", v.service, "-version", v.version, "-journal", filepath.Join(f.LogDir, v.name+".orders"),
 		}, v.flags...)
-		if v.target, err = f.start(v.name+"-target", "nutmegtarget", flags...); err != nil {
+		if v.target, err = f.Start(v.name+"-target", "nutmegtarget", flags...); err != nil {
 			return err
 		}
 	}
