--- a/pkg/domain/domaintest/fleet.go
+++ b/pkg/domain/domaintest/fleet.go
@@ -94,6 +94,7 @@
 		service.Routes = []config.Route{{
 			Name: "main", Host: name + ".example", Path: "/", Idempotent: true,
 			Deadline: config.Duration(time.Second),
+			Limits:   &config.Limits{PerMember: &config.Rate{PerSecond: MemberLimit, Burst: MemberLimit}},
 		}}
 		f.services[name] = service
 	}
@@ -108,6 +109,9 @@
 	return f
 }
 
+// MemberLimit is the limit of each member on each route, in calls per second.
+const MemberLimit = 100
+
 // ServiceName returns the name of a service by its index.
 func ServiceName(i int) string { return fmt.Sprintf("service-%03d", i) }
 
