Use the terms of the field for a distributor's lease and a wanted read

Cause: "office" and "poke" in pkg/domain, and "hand-over" in comments, are not terms of the field.

Change: slotLease, headWanted, dispatch.

--- a/pkg/domain/distributor.go
+++ b/pkg/domain/distributor.go
@@ -22,18 +22,18 @@
 // Distributor feeds the member daemons of its failure domain and exchanges
 // versions and records with the distributors of the other domains.
 type Distributor struct {
-	o       Options
-	random  *random
-	member  *Member // of the same daemon
-	peers   *link.Peers
-	table   *Table // of every service
-	catalog *catalog
-	sums    *sums
-	joins   *rate.Limiter
-	started time.Time
-	office  atomic.Pointer[office]
-	fleet   atomic.Uint64 // highest version heard of
-	poke    chan struct{} // the head is to be read now
+	o          Options
+	random     *random
+	member     *Member // of the same daemon
+	peers      *link.Peers
+	table      *Table // of every service
+	catalog    *catalog
+	sums       *sums
+	joins      *rate.Limiter
+	started    time.Time
+	lease      atomic.Pointer[slotLease]
+	fleet      atomic.Uint64 // highest version heard of
+	headWanted chan struct{} // the head is to be read now
 
 	mu         sync.Mutex
 	counter    uint64
@@ -46,8 +46,8 @@
 	successors []string
 }
 
-// office is the lease under which a distributor works.
-type office struct {
+// slotLease is the lease under which a distributor works.
+type slotLease struct {
 	slot    int
 	fencing uint64          // 0 for an acting distributor
 	held    context.Context // ends when the lease can no longer be trusted; nil without one
@@ -57,11 +57,11 @@
 	d := &Distributor{
 		o: o, random: newRandom(o.Seed, "distributor "+o.Name), member: m, peers: link.NewPeers(o.Dial),
 		table: NewTable(), catalog: newCatalog(), sums: newSums(o), joins: rate.NewLimiter(joinsPerSecond, joinBurst),
-		started: time.Now(), poke: make(chan struct{}, 1), sessions: map[string]*session{},
+		started: time.Now(), headWanted: make(chan struct{}, 1), sessions: map[string]*session{},
 		members: map[string]*memberState{}, links: map[string]*exchange{}, others: map[string]*other{},
 		domains: map[string]*otherDomain{},
 	}
-	d.office.Store(&office{slot: noSlot})
+	d.lease.Store(&slotLease{slot: noSlot})
 	d.siblings.goneAt = d.started
 	d.catalog.seed(m.Snapshot())
 	d.raiseFleet(d.catalog.version())
@@ -72,8 +72,8 @@
 
 // run works until ctx ends.
 func (d *Distributor) run(ctx context.Context) {
-	eventDistributorStarted.Log(d.o.Logger, zap.Int("slot", d.office.Load().slot),
-		zap.Uint64("fencing", d.office.Load().fencing))
+	eventDistributorStarted.Log(d.o.Logger, zap.Int("slot", d.lease.Load().slot),
+		zap.Uint64("fencing", d.lease.Load().fencing))
 	var tasks sync.WaitGroup
 	for _, task := range []func(context.Context){d.watchHead, d.watchEntries, d.keepLinks, d.offerMembers} {
 		tasks.Add(1)
@@ -101,15 +101,15 @@
 
 // Held reports whether the distributor's lease can be trusted now.
 func (d *Distributor) Held() bool {
-	held := d.office.Load().held
+	held := d.lease.Load().held
 	return held != nil && held.Err() == nil
 }
 
 // Fencing returns the fencing number, 0 for an acting distributor.
-func (d *Distributor) Fencing() uint64 { return d.office.Load().fencing }
+func (d *Distributor) Fencing() uint64 { return d.lease.Load().fencing }
 
 // Slot returns the lease slot, -1 for an acting distributor.
-func (d *Distributor) Slot() int { return d.office.Load().slot }
+func (d *Distributor) Slot() int { return d.lease.Load().slot }
 
 // Version returns the configuration version that the distributor holds.
 func (d *Distributor) Version() uint64 { return d.catalog.version() }
@@ -217,7 +217,7 @@
 	case grew:
 		d.versionGrew(false)
 	case err != nil && delta.GetVersion() > d.catalog.version():
-		notify(d.poke) // the base differs; the store has what is missing
+		notify(d.headWanted) // the base differs; the store has what is missing
 	}
 	return d.catalog.version()
 }
--- a/pkg/domain/errors.go
+++ b/pkg/domain/errors.go
@@ -103,6 +103,6 @@
 		"The store's head is older than the version in force; it is ignored.")
 	eventRecordsRepaired = telemetry.NewEvent(1319, "records_repaired", zapcore.WarnLevel,
 		"A member daemon's records differed for 3 s; all were sent again.")
-	eventLeftOffice = telemetry.NewEvent(1320, "distributor_superseded", zapcore.WarnLevel,
+	eventSuperseded = telemetry.NewEvent(1320, "distributor_superseded", zapcore.WarnLevel,
 		"Another daemon holds this distributor's slot with a higher fencing number.")
 )
--- a/pkg/domain/exchange.go
+++ b/pkg/domain/exchange.go
@@ -223,7 +223,7 @@
 // report builds the next report.
 func (x *exchange) report() *pb.DomainReport {
 	d := x.d
-	o := d.office.Load()
+	o := d.lease.Load()
 	version := d.catalog.version()
 	r := &pb.DomainReport{ConfigVersion: version, Complete: d.settled()}
 	if len(d.catalog.missing(nil)) > 0 {
--- a/pkg/domain/feed.go
+++ b/pkg/domain/feed.go
@@ -194,7 +194,7 @@
 		eventFeedJoined.Log(m.o.Logger, zap.String("distributor", f.address), zap.Int32("slot", u.GetSlot()))
 	}
 	f.live, f.heardAt = true, time.Now()
-	if u.GetOfficeChanged() {
+	if u.GetLeaseChanged() {
 		f.slot, f.fencing = u.GetSlot(), u.GetFencing()
 	}
 	f.version = max(f.version, u.GetFleetVersion())
--- a/pkg/domain/head.go
+++ b/pkg/domain/head.go
@@ -63,13 +63,13 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait)
 	defer cancel()
 	// A hint from a call or a push ends the wait early.
-	poked := make(chan struct{})
-	defer close(poked)
+	ended := make(chan struct{})
+	defer close(ended)
 	if err := d.o.submit(func() {
 		select {
-		case <-d.poke:
+		case <-d.headWanted:
 			cancel()
-		case <-poked:
+		case <-ended:
 		}
 	}); err != nil {
 		return from, true, err
--- a/pkg/domain/liveness.go
+++ b/pkg/domain/liveness.go
@@ -29,7 +29,7 @@
 	endedAt     time.Time // when the last session ended
 	heard       time.Time
 	hadStream   bool // this distributor has heard the daemon itself
-	leased      bool // a membership lease was granted under a held office
+	leased      bool // a membership lease was granted under a held lease
 	left        bool // the daemon said that it leaves
 	silentSince time.Time
 	behindSince time.Time // since when it lacks the newest version
--- a/pkg/domain/member.go
+++ b/pkg/domain/member.go
@@ -82,7 +82,7 @@
 }
 
 // Lease returns the time until which non-idempotent work may start. It is
-// checked just before a hand-over, against the monotonic clock.
+// checked just before the dispatch, against the monotonic clock.
 func (m *Member) Lease() time.Time {
 	if until := m.lease.Load(); until != nil {
 		return *until
--- a/pkg/domain/peers.go
+++ b/pkg/domain/peers.go
@@ -170,7 +170,7 @@
 // domainRecordLocked says how this distributor sees another domain. Its key
 // has the slot, so that a later holder of the slot replaces it.
 func (d *Distributor) domainRecordLocked(name string, state pb.EndpointState) *pb.Record {
-	o := d.office.Load()
+	o := d.lease.Load()
 	d.counter++
 	incarnation := o.fencing
 	if o.slot == noSlot {
--- a/pkg/domain/server.go
+++ b/pkg/domain/server.go
@@ -51,7 +51,7 @@
 func (s *Server) Join(stream pb.DRPCMesh_JoinStream) error {
 	d := s.current.Load()
 	if d == nil && s.mayAct() {
-		d = s.start(&office{slot: noSlot})
+		d = s.start(&slotLease{slot: noSlot})
 	}
 	if d == nil {
 		return &NotDistributorError{Name: s.o.Name}
@@ -177,7 +177,7 @@
 		return
 	}
 	_ = l.Run(ctx, func(held context.Context, fencing uint64) {
-		s.start(&office{slot: slot, fencing: fencing, held: held})
+		s.start(&slotLease{slot: slot, fencing: fencing, held: held})
 		<-held.Done()
 	})
 	s.stopRole()
@@ -206,18 +206,18 @@
 	}
 	s.member.addDistributor(r.Address)
 	if d := s.current.Load(); d != nil && d.Slot() != noSlot && r.Fencing > d.Fencing() {
-		eventLeftOffice.Log(s.o.Logger, zap.Uint64("fencing", r.Fencing), zap.String("holder", r.Holder))
+		eventSuperseded.Log(s.o.Logger, zap.Uint64("fencing", r.Fencing), zap.String("holder", r.Holder))
 		s.stopRole()
 		cancel()
 	}
 }
 
-// start begins the distributor's role, or gives a running one its office.
-func (s *Server) start(o *office) *Distributor {
+// start begins the distributor's role, or gives a running one its lease.
+func (s *Server) start(o *slotLease) *Distributor {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if d := s.current.Load(); d != nil {
-		d.office.Store(o)
+		d.lease.Store(o)
 		return d
 	}
 	if s.run == nil || s.run.Err() != nil {
@@ -225,7 +225,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.run)
 	d := newDistributor(s.o, s.member)
-	d.office.Store(o)
+	d.lease.Store(o)
 	stopped := make(chan struct{})
 	if err := s.o.submit(func() { defer close(stopped); s.work(ctx, d) }); err != nil {
 		cancel()
--- a/pkg/domain/session.go
+++ b/pkg/domain/session.go
@@ -62,10 +62,10 @@
 	digest       uint64 // of the member daemon's records
 	complete     bool   // it was told that its endpoint set is complete
 	// What the member daemon was told last.
-	toldPeers  string // distributors and successors
-	toldOffice *office
-	toldFleet  uint64
-	toldLease  int64
+	toldPeers string // distributors and successors
+	toldSlot  *slotLease
+	toldFleet uint64
+	toldLease int64
 }
 
 // join serves the stream of one member daemon.
@@ -164,7 +164,7 @@
 	leased := d.heard(s, r)
 	if r.GetKnownVersion() > d.fleet.Load() {
 		d.raiseFleet(r.GetKnownVersion())
-		notify(d.poke)
+		notify(d.headWanted)
 	}
 	if len(r.GetRecords()) > 0 {
 		d.spread(d.sums.take(s.name, r.GetRecords()), nil)
@@ -312,7 +312,7 @@
 // update builds the next message.
 func (s *session) update() *pb.FeedUpdate {
 	d := s.d
-	o := d.office.Load()
+	o := d.lease.Load()
 	u := &pb.FeedUpdate{}
 	settled := d.settled()
 	distributors, successors, addresses := d.tell()
@@ -325,9 +325,9 @@
 	if s.all && settled && !s.complete {
 		u.Complete, s.complete = true, true
 	}
-	if o != s.toldOffice {
-		u.Primary, u.OfficeChanged, u.Fencing, u.Slot = s.all, true, o.fencing, int32(o.slot)
-		s.toldOffice = o
+	if o != s.toldSlot {
+		u.Primary, u.LeaseChanged, u.Fencing, u.Slot = s.all, true, o.fencing, int32(o.slot)
+		s.toldSlot = o
 	}
 	if fleet := d.fleet.Load(); fleet != s.toldFleet {
 		u.FleetVersion, s.toldFleet = fleet, fleet
@@ -392,7 +392,7 @@
 	}
 	delta, err := d.catalog.withBundles(d.catalog.deltaFrom(base), s.subscribed, s.held)
 	if err != nil {
-		notify(d.poke) // content is missing here
+		notify(d.headWanted) // content is missing here
 		return nil
 	}
 	if version == s.version && len(delta.GetBundles()) == 0 && !s.wantFull {
