Let nutmegctl apply -wait take no value

Cause: -wait needed a duration, so "apply -wait DIRECTORY" was refused as bad usage.

Change: -wait is a switch; -wait-timeout bounds it, 60 s by default.

--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -16,16 +16,20 @@
 func defineApply(flags *flag.FlagSet) func(*session, []string) error {
 	operation := flags.String("operation", "", "operation `number`; give the number of an earlier apply to repeat it safely")
 	base := flags.Uint64("base-version", 0, "`version` that the files build on; refused if a later one changed the same services")
-	wait := flags.Duration("wait", 0, "wait so long for the version to be in force everywhere, at most 60s")
+	wait := flags.Bool("wait", false, "end when the version is in force everywhere, and say where it is not")
+	waitTimeout := flags.Duration("wait-timeout", admin.MaxWait, "longest wait of -wait, at most 60s")
 	return func(s *session, args []string) error {
-		if *wait < 0 || *wait > admin.MaxWait {
-			return &UsageError{Message: fmt.Sprintf("-wait must be from 0 to %v", admin.MaxWait)}
+		if *waitTimeout <= 0 || *waitTimeout > admin.MaxWait {
+			return &UsageError{Message: fmt.Sprintf("-wait-timeout must be more than 0 and at most %v", admin.MaxWait)}
 		}
 		files, err := readFiles(args)
 		if err != nil {
 			return err
 		}
-		request := admin.FilesRequest{Operation: *operation, BaseVersion: *base, Files: files, WaitMS: wait.Milliseconds()}
+		request := admin.FilesRequest{Operation: *operation, BaseVersion: *base, Files: files}
+		if *wait {
+			request.WaitMS = waitTimeout.Milliseconds()
+		}
 		if request.Operation == "" {
 			id, err := uuid.NewV7()
 			if err != nil {
