--- a/test/runtests/main.go
+++ b/test/runtests/main.go
@@ -102,11 +102,24 @@
 		case "fail":
 			result.addFailure(event, known, redInPackage, failedInPackage)
 			fmt.Print(strings.Join(output[id], ""))
+			if event.Test == "" {
+				printUnfinished(event.Package, output)
+			}
 		}
 		delete(output, id)
 	}
 }
 
+// printUnfinished prints the output of the tests that ran when the test process
+// of a package ended without a verdict for them.
+func printUnfinished(pkg string, output map[string][]string) {
+	for id, lines := range output {
+		if strings.HasPrefix(id, pkg+" ") && id != pkg+" " {
+			fmt.Print(strings.Join(lines, ""))
+		}
+	}
+}
+
 func (s *summary) addFailure(event testEvent, known, redInPackage, failedInPackage map[string]bool) {
 	root, _, isSubtest := strings.Cut(event.Test, "/")
 	id := event.Package + " " + event.Test
