Write daemon settings and convert endpoint views in one place

Cause: found on a read of the whole change. Demo and scenarios each wrote the same settings file; caller side and target side each converted every endpoint view; each change of a record gave every bundle to the chooser again, which copies the plans of all services each time; a constant of 0 was compared with a time.

Change: processes.WriteSettings; one endpointSource; a bundle goes to the chooser only when it is new; the constant is gone.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -22,12 +22,11 @@
 	d.backend.Headers = func(head *pb.CallHead, received time.Time) []*pb.Header {
 		return chain.FromHead(head, received).Headers()
 	}
-	endpoints := &endpointSource{table: d.member.Table()}
 	d.gate = target.NewGate(target.Options{
 		Name: d.settings.Name, Backend: d.backend,
 		Lease:         d.member.Lease,
 		TakenBack:     d.versions.chooser.TakenBack,
-		Endpoints:     endpoints.Endpoints,
+		Endpoints:     d.endpoints.Endpoints,
 		Holds:         d.holds,
 		ConfigVersion: func() uint64 { return d.member.Snapshot().Version() },
 		Suspects:      suspectPublisher{name: d.settings.Name, records: d.member},
@@ -104,7 +103,7 @@
 	router, err := route.New(route.Options{
 		Name: d.settings.Name, Domain: d.settings.Domain,
 		Config:    configSource{d.member},
-		Endpoints: &endpointSource{table: d.member.Table()},
+		Endpoints: d.endpoints,
 		Versions:  d.versions, Sender: sender, Homes: homeFinder{}, Warmer: sender,
 		Usage: usagePublisher{d.member}, Meter: d.metrics.Meter, Logger: d.decisions,
 	})
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -38,11 +38,12 @@
 	metrics   *telemetry.Metrics
 	listeners *listeners
 
-	store    *httpstore.Client
-	peers    *link.Peers
-	member   *domain.Member
-	roles    *domain.Server
-	versions *versions
+	store     *httpstore.Client
+	peers     *link.Peers
+	member    *domain.Member
+	roles     *domain.Server
+	versions  *versions
+	endpoints *endpointSource // shared, so that a view is converted once
 
 	backend  *target.HTTPBackend
 	gate     *target.Gate
@@ -119,6 +120,7 @@
 		Store: d.store, Dial: link.DialTCP, Tasks: d.tasks, Logger: d.logger,
 		Returned: func(departedMS int64) { d.local.Return(departedMS) },
 	})
+	d.endpoints = &endpointSource{table: d.member.Table()}
 	d.roles = domain.NewServer(d.member)
 	d.roles.Role = d.runControllers
 	d.versions = newVersions(d.settings.Name, d.settings.Domain, d.member)
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -27,6 +27,7 @@
 
 	mu        sync.RWMutex
 	recorders map[string]*move.Recorder
+	bundles   map[string]*config.Bundle // as given to the chooser; used by refresh only
 }
 
 func newVersions(name, domainName string, member *domain.Member) *versions {
@@ -34,6 +35,7 @@
 		name: name, domain: domainName, member: member,
 		chooser:   move.NewChooser(time.Now()),
 		recorders: map[string]*move.Recorder{},
+		bundles:   map[string]*config.Bundle{},
 	}
 }
 
@@ -104,7 +106,7 @@
 	}
 }
 
-// refresh hands bundles and grants to the chooser; both are cheap to repeat.
+// refresh hands new bundles, and grants, to the chooser.
 func (v *versions) refresh() {
 	snapshot := v.member.Snapshot()
 	if snapshot == nil {
@@ -131,7 +133,12 @@
 		v.recorders[name] = move.NewRecorder(name, v.domain, v.name, v.member.Incarnation())
 	}
 	v.mu.Unlock()
-	v.chooser.SetBundle(bundle)
+	// SetBundle copies the plans of every service, and refresh runs at each
+	// change of a record.
+	if v.bundles[name] != bundle {
+		v.bundles[name] = bundle
+		v.chooser.SetBundle(bundle)
+	}
 }
 
 func (v *versions) publish() {
--- a/pkg/domain/doc.go
+++ b/pkg/domain/doc.go
@@ -53,11 +53,10 @@
 	// before it declares a daemon departed without the other's agreement.
 	aloneLimit = 10 * time.Second
 	// actingAfter is how long a daemon is without distributors before it dials
-	// the successors; a successor accepts streams slightly earlier. Waiting for
+	// the successors; a successor accepts streams at once. Waiting for
 	// a lease alone took 9.8 s until a version was in force in a domain that
 	// lost both distributors.
-	actingAfter       = 500 * time.Millisecond
-	actingAcceptAfter = 0
+	actingAfter = 500 * time.Millisecond
 	// watchWait is the length of one long poll of the head.
 	watchWait = 30 * time.Second
 	// storeTimeout bounds one store call; a slow store takes 5 s to answer.
--- a/pkg/domain/server.go
+++ b/pkg/domain/server.go
@@ -265,8 +265,7 @@
 	m := s.member
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return (m.listed || slices.Contains(m.successorName, s.o.Name)) && m.liveLocked() == 0 &&
-		time.Since(m.alone) > actingAcceptAfter
+	return (m.listed || slices.Contains(m.successorName, s.o.Name)) && m.liveLocked() == 0
 }
 
 // endActing ends an acting role once a distributor with a lease is connected.
--- a/test/demo/layout.go
+++ b/test/demo/layout.go
@@ -1,16 +1,9 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
-	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/settings"
-
 	"nutmegstand.example/nutmegstand/test/processes"
 )
 
@@ -18,7 +11,6 @@
 	loopback    = "127.0.0.1"
 	portsPerVM  = 10
 	adminToken  = "demo-administrator"
-	demoDrain   = 10 * time.Second
 	processPart = "%s-%s"
 )
 
@@ -75,32 +67,17 @@
 	return vms
 }
 
-// writeSettings writes the settings file of a daemon.
-func (v *vm) writeSettings(dir, storeAddress string) (string, error) {
-	sum := sha256.Sum256([]byte(adminToken))
-	s := settings.Settings{
-		Name: v.name, Domain: v.domain, Advertise: v.address(portDaemons),
-		Listen: settings.Listen{
-			Calls: v.address(portCalls), Local: v.address(portLocal), Announce: v.address(portAnnounce),
-			Daemons: v.address(portDaemons), Admin: v.address(portAdmin), Metrics: v.address(portMetrics),
-		},
-		Store:        settings.Store{Address: storeAddress, Timeout: settings.Duration(time.Second)},
-		Admin:        settings.Admin{Tokens: []settings.Token{{Name: "demo", SHA256: hex.EncodeToString(sum[:])}}, MaxBodyBytes: 4 << 20},
-		Calls:        settings.Calls{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10},
-		Log:          settings.Log{Level: "info", Decisions: true},
-		DrainTimeout: settings.Duration(demoDrain), MemoryLimitBytes: 96 << 20,
-	}
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return "", err
+// listen returns the listening addresses of the daemon.
+func (v *vm) listen() settings.Listen {
+	return settings.Listen{
+		Calls: v.address(portCalls), Local: v.address(portLocal), Announce: v.address(portAnnounce),
+		Daemons: v.address(portDaemons), Admin: v.address(portAdmin), Metrics: v.address(portMetrics),
 	}
-	file := filepath.Join(dir, v.name+".json")
-	return file, os.WriteFile(file, data, 0o600)
 }
 
 // start starts the daemon and the target of a VM.
 func (v *vm) start(f *processes.Fleet, dir, storeAddress string) error {
-	file, err := v.writeSettings(dir, storeAddress)
+	file, err := processes.WriteSettings(dir, v.name, v.domain, adminToken, storeAddress, v.listen())
 	if err != nil {
 		return err
 	}
--- a/test/demo/play.go
+++ b/test/demo/play.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/admin"
-
 	"nutmegstand.example/nutmegstand/test/processes"
 )
 
--- a/test/scenario/mesh.go
+++ b/test/scenario/mesh.go
@@ -18,7 +18,6 @@
 	"nutmegstand.example/nutmegstand/pkg/lease"
 	"nutmegstand.example/nutmegstand/pkg/move"
 	"nutmegstand.example/nutmegstand/pkg/store/httpstore"
-
 	"nutmegstand.example/nutmegstand/test/processes"
 )
 
--- a/test/scenario/vm.go
+++ b/test/scenario/vm.go
@@ -1,20 +1,15 @@
 package scenario
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/settings"
-
 	"nutmegstand.example/nutmegstand/test/processes"
 )
 
@@ -33,7 +28,6 @@
 
 const (
 	adminToken   = "scenario-administrator"
-	drainTimeout = 10 * time.Second
 	storeTimeout = time.Second
 	// addressTries bounds the search for an address whose ports are free.
 	addressTries = 100
@@ -82,32 +76,17 @@
 	return true
 }
 
-// writeSettings writes the settings file of the daemon.
-func (v *vm) writeSettings(dir, store string) (string, error) {
-	sum := sha256.Sum256([]byte(adminToken))
-	s := settings.Settings{
-		Name: v.name, Domain: v.domain, Advertise: v.address(portDaemons),
-		Listen: settings.Listen{
-			Calls: v.address(portCalls), Local: v.address(portLocal), Announce: v.address(portAnnounce),
-			Daemons: v.address(portDaemons), Admin: v.address(portAdmin), Metrics: v.address(portMetrics),
-		},
-		Store:        settings.Store{Address: store, Timeout: settings.Duration(storeTimeout)},
-		Admin:        settings.Admin{Tokens: []settings.Token{{Name: "scenario", SHA256: hex.EncodeToString(sum[:])}}, MaxBodyBytes: 4 << 20},
-		Calls:        settings.Calls{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10},
-		Log:          settings.Log{Level: "info", Decisions: true},
-		DrainTimeout: settings.Duration(drainTimeout), MemoryLimitBytes: 96 << 20,
-	}
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return "", err
+// listen returns the listening addresses of the daemon.
+func (v *vm) listen() settings.Listen {
+	return settings.Listen{
+		Calls: v.address(portCalls), Local: v.address(portLocal), Announce: v.address(portAnnounce),
+		Daemons: v.address(portDaemons), Admin: v.address(portAdmin), Metrics: v.address(portMetrics),
 	}
-	file := filepath.Join(dir, v.name+".json")
-	return file, os.WriteFile(file, data, 0o600)
 }
 
 // start starts what does not run of the VM.
 func (v *vm) start(f *processes.Fleet, store string) error {
-	file, err := v.writeSettings(f.LogDir, store)
+	file, err := processes.WriteSettings(f.LogDir, v.name, v.domain, adminToken, store, v.listen())
 	if err != nil {
 		return err
 	}
