Serve the users' platform by a streaming data path and a fleet without a control tier

Cause: the platform has no control machine, no list of machines and no disk; the product's call path held bodies whole and its distributors need a tier. Change: platform/ translates the wire; pkg/fleet (push and random exchange), pkg/proxy (streaming both ways, gate beside the target), pkg/rollout (moves of seconds), pkg/routing, pkg/clock and pkg/node are the product's side.

--- a/cmd/nutmegstandd/main.go
+++ b/cmd/nutmegstandd/main.go
@@ -11,10 +11,14 @@
 	"syscall"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"nutmegstand.example/nutmegstand/pkg/daemon"
+	"nutmegstand.example/nutmegstand/pkg/node"
 	"nutmegstand.example/nutmegstand/pkg/settings"
 	"nutmegstand.example/nutmegstand/pkg/telemetry"
+	"nutmegstand.example/nutmegstand/platform"
 )
 
 // Exit codes.
@@ -23,29 +27,48 @@
 	exitBadUsage = 2
 )
 
+// runner is a daemon that is ready to run.
+type runner interface{ Run(ctx context.Context) error }
+
+// program is what the settings ask for.
+type program struct {
+	memoryLimit int64
+	level       zapcore.Level
+	build       func(*zap.Logger) (runner, error)
+}
+
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
 	file := flag.String("settings", "", "settings `file` in JSON")
+	onPlatform := flag.Bool("platform", false, "run on the platform of package platform; its settings differ")
 	flag.Parse()
 	if *file == "" || flag.NArg() > 0 {
 		flag.Usage()
 		return exitBadUsage
 	}
-	s, err := settings.Load(*file)
+	load := loadDaemon
+	if *onPlatform {
+		load = loadNode
+	}
+	p, err := load(*file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadUsage
 	}
-	if s.MemoryLimitBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryLimitBytes)
+	return p.run()
+}
+
+func (p *program) run() int {
+	if p.memoryLimit > 0 {
+		debug.SetMemoryLimit(p.memoryLimit)
 	}
 	hlog.SetLevel(hlog.LevelFatal) // the daemon logs its own events
-	logger, flush := telemetry.NewLogger(os.Stdout, s.Log.ZapLevel())
+	logger, flush := telemetry.NewLogger(os.Stdout, p.level)
 	defer flush()
-	d, err := daemon.New(s, logger)
+	d, err := p.build(logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -58,3 +81,29 @@
 	}
 	return 0
 }
+
+func loadDaemon(file string) (*program, error) {
+	s, err := settings.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	return &program{
+		memoryLimit: s.MemoryLimitBytes, level: s.Log.ZapLevel(),
+		build: func(l *zap.Logger) (runner, error) { return daemon.New(s, l) },
+	}, nil
+}
+
+func loadNode(file string) (*program, error) {
+	s, err := node.LoadSettings(file)
+	if err != nil {
+		return nil, err
+	}
+	objects := platform.NewObjects(s.Store)
+	p := node.Platform{
+		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
+	}
+	return &program{
+		memoryLimit: s.MemoryLimitBytes, level: zapcore.InfoLevel,
+		build: func(l *zap.Logger) (runner, error) { return node.New(s, p, l) },
+	}, nil
+}
--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,55 @@
+// Package clock reads a clock that also counts the time in which the machine
+// was suspended. Go's monotonic time stands still during a suspension, so
+// terms and ages that other machines rely on must not be measured with it.
+package clock
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a point in time since the boot of the machine.
+type Instant time.Duration
+
+// Sub returns the time from other to i.
+func (i Instant) Sub(other Instant) time.Duration { return time.Duration(i - other) }
+
+// Add returns the instant d after i.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Clock tells the current instant.
+type Clock interface{ Now() Instant }
+
+// Boot is the Clock of a real machine.
+type Boot struct{}
+
+// Now implements Clock.
+func (Boot) Now() Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock: CLOCK_BOOTTIME is not available: " + err.Error())
+	}
+	return Instant(ts.Nano())
+}
+
+// Manual is a Clock that tests set.
+type Manual struct {
+	mu  sync.Mutex
+	now Instant
+}
+
+// Now implements Clock.
+func (m *Manual) Now() Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Advance moves the clock forward.
+func (m *Manual) Advance(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+}
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -1,21 +1,11 @@
 package daemon
 
 import (
-	"context"
 	"net"
-	"time"
-
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"nutmegstand.example/nutmegstand/pkg/settings"
-	"nutmegstand.example/nutmegstand/pkg/telemetry"
 )
 
-// metricsPath is where scrapers look by default.
-const metricsPath = "/metrics"
-
 // listeners are the open sockets of a daemon.
 type listeners struct {
 	calls, local, announce, daemons, admin, metrics net.Listener
@@ -54,16 +44,3 @@
 		}
 	}
 }
-
-// serveMetrics answers scrapers until ctx ends.
-func serveMetrics(ctx context.Context, listener net.Listener, metrics *telemetry.Metrics) error {
-	h := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
-		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Second))
-	h.GET(metricsPath, adaptor.HertzHandler(metrics.Handler))
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	if err := h.Run(); err != nil && ctx.Err() == nil {
-		return err
-	}
-	return nil
-}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -4,13 +4,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
@@ -28,6 +31,9 @@
 	// dialTimeout bounds a connection attempt. Regions lose each other without
 	// a reset, so a dial must not hang.
 	dialTimeout = time.Second
+	// silenceTimeout ends a connection on which sent bytes stay unacknowledged.
+	// It is the longest time that a caller waits for a connection attempt.
+	silenceTimeout = time.Second
 	// idleTimeout closes pooled connections that are not in use.
 	idleTimeout = 60 * time.Second
 	// maxIdlePerPeer and maxIdle bound the memory of idle connections.
@@ -63,10 +69,20 @@
 
 // DialTCP is the DialFunc of real daemons.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: limitSilence}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// limitSilence lets the kernel end a connection whose peer acknowledges
+// nothing: a partition drops packets without a reset.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
@@ -92,6 +108,11 @@
 	})}
 }
 
+// Fleet returns a client of the Fleet service of the daemon at address.
+func (p *Peers) Fleet(ctx context.Context, address string) pb.DRPCFleetClient {
+	return pb.NewDRPCFleetClient(p.pool.Get(ctx, address, p.dialPooled))
+}
+
 // Client returns a client for the daemon at address. The connection is opened
 // or reused when a method is called; a failed dial is returned as DialError.
 func (p *Peers) Client(ctx context.Context, address string) pb.DRPCMeshClient {
@@ -138,8 +159,21 @@
 	if err := pb.DRPCRegisterMesh(mux, mesh); err != nil {
 		return nil, fmt.Errorf("link: register: %w", err)
 	}
+	return newServer(mux, tasks, logger), nil
+}
+
+// NewFleetServer returns a server of the Fleet service.
+func NewFleetServer(fleet pb.DRPCFleetServer, tasks *ants.Pool, logger *zap.Logger) (*Server, error) {
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterFleet(mux, fleet); err != nil {
+		return nil, fmt.Errorf("link: register: %w", err)
+	}
+	return newServer(mux, tasks, logger), nil
+}
+
+func newServer(handler drpc.Handler, tasks *ants.Pool, logger *zap.Logger) *Server {
 	options := drpcserver.Options{Manager: managerOptions()}
-	return &Server{server: drpcserver.NewWithOptions(mux, options), tasks: tasks, logger: logger}, nil
+	return &Server{server: drpcserver.NewWithOptions(handler, options), tasks: tasks, logger: logger}
 }
 
 // Serve accepts connections until ctx ends or the listener fails.
--- /dev/null
+++ b/pkg/node/drain.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/fleet"
+)
+
+const (
+	// minDrain is the time in which callers learn that the daemon is not ready:
+	// two missed questions, a second apart, and a request after that.
+	minDrain = 3 * time.Second
+	// stopMargin is left between the last request and the kill.
+	stopMargin = 500 * time.Millisecond
+	// drainPoll is the time between looks at the requests under way.
+	drainPoll = 50 * time.Millisecond
+	// closeTimeout bounds the end of the servers after the drain.
+	closeTimeout = 300 * time.Millisecond
+)
+
+// drain is the graceful stop. Peers learn first that the daemon leaves, so that
+// they send no further call; what is under way ends. It returns the number of
+// requests that were cut.
+func (n *Node) drain() int {
+	started := time.Now()
+	eventDraining.Log(n.logger, zap.Int64("callers", n.callers.active.Load()), zap.Int64("daemons", n.daemons.active.Load()))
+	n.leaving.Store(true)
+	n.fleet.Update(func(s *fleet.State) { s.Leaving = true })
+	go n.unregister()
+	end := started.Add(n.settings.StopGrace.Duration() - stopMargin - closeTimeout)
+	for time.Now().Before(end) {
+		idle := n.callers.active.Load() == 0 && n.daemons.active.Load() == 0
+		if idle && time.Since(started) >= minDrain {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	cut := n.callers.close(closeTimeout)
+	n.gate.Close()
+	return cut + n.daemons.close(closeTimeout)
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,317 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/fleet"
+	"nutmegstand.example/nutmegstand/pkg/link"
+	"nutmegstand.example/nutmegstand/pkg/proxy"
+	"nutmegstand.example/nutmegstand/pkg/rollout"
+	"nutmegstand.example/nutmegstand/pkg/routing"
+	"nutmegstand.example/nutmegstand/pkg/telemetry"
+)
+
+const (
+	// maxTasks bounds the tasks of a daemon: fleet connections, exchanges and moves.
+	maxTasks = 2048
+	// reportInterval is the time between reports of evidence; a bad version must
+	// be found within seconds.
+	reportInterval = 300 * time.Millisecond
+	// sweepInterval is the time between clean-ups of idle connections.
+	sweepInterval = time.Second
+	// headerTimeout and idleTimeout bound connections of callers. Operators
+	// allow less, but a connection must never be closed earlier than they state.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	// suspectPrefix begins the keys of the facts on crashing requests.
+	suspectPrefix = "suspect/"
+)
+
+// Node is one daemon of a deployment.
+type Node struct {
+	settings *Settings
+	platform Platform
+	logger   *zap.Logger
+	clock    clock.Clock
+	tasks    *ants.Pool
+	metrics  *telemetry.Metrics
+
+	config    routing.Current
+	history   fleet.History
+	table     *fleet.Table
+	fleet     *fleet.Fleet
+	store     *storeHealth
+	moves     *rollout.Follower
+	recorder  *rollout.Recorder
+	collector *rollout.Collector
+	control   *rollout.Controller
+	suspects  *proxy.Suspects
+	balancer  *proxy.Balancer
+	peers     *proxy.Peers
+	gate      *proxy.Gate
+	keeper    *targetKeeper
+	callers   *server
+	daemons   *server
+
+	leaving   atomic.Bool
+	listeners map[string]net.Listener
+	running   sync.WaitGroup
+	failed    chan error
+}
+
+// StartError reports a part of the daemon that cannot start, or that ended.
+type StartError struct {
+	Part  string
+	Cause error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("node: %s: %v", e.Part, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// New listens on the addresses of the settings and builds the parts. Nothing
+// runs before Run.
+func New(s *Settings, p Platform, logger *zap.Logger) (*Node, error) {
+	n := &Node{settings: s, platform: p, logger: logger, clock: clock.Boot{}, failed: make(chan error, 1)}
+	var err error
+	if n.tasks, err = ants.NewPool(maxTasks, ants.WithNonblocking(true)); err != nil {
+		return nil, &StartError{"tasks", err}
+	}
+	if n.metrics, err = telemetry.NewMetrics(); err != nil {
+		return nil, &StartError{"metrics", err}
+	}
+	if err = n.listen(); err != nil {
+		return nil, &StartError{"listeners", err}
+	}
+	instruments, err := proxy.NewMetrics(n.metrics.Meter)
+	if err != nil {
+		return nil, &StartError{"metrics", err}
+	}
+	n.buildFleet()
+	n.buildMoves()
+	n.buildProxy(instruments)
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	n.listeners = make(map[string]net.Listener)
+	for name, address := range map[string]string{
+		"callers": n.settings.Listen.Callers, "daemons": n.settings.Listen.Daemons, "fleet": n.settings.Listen.Fleet,
+		"announcements": n.settings.Listen.Announcements, "readiness": n.settings.Listen.Readiness,
+		"metrics": n.settings.Listen.Metrics,
+	} {
+		if address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		n.listeners[name] = listener
+	}
+	return nil
+}
+
+func (n *Node) buildFleet() {
+	// The start time orders the processes of one daemon; a daemon that finds a
+	// later one known of itself takes the next.
+	incarnation := uint64(time.Now().UnixMilli())
+	n.table = fleet.NewTable(n.settings.Name, incarnation, n.initialState(), n.clock)
+	n.fleet = fleet.New(fleet.Options{
+		Table: n.table, Peers: link.NewPeers(link.DialTCP), Tasks: n.tasks, Config: &n.config, History: &n.history, Logger: n.logger,
+		Adopted: func(c *routing.Config) { n.adopt(c, false) },
+		Report:  n.takeReport,
+	})
+	n.store = &storeHealth{node: n}
+}
+
+func (n *Node) buildMoves() {
+	n.moves = rollout.NewFollower(n.logger)
+	n.recorder = rollout.NewRecorder(n.moves)
+	n.collector = rollout.NewCollector(n.clock)
+	n.control = rollout.NewController(rollout.ControllerOptions{
+		Table: n.table, Follower: n.moves, Collector: n.collector, Records: records{n.platform}, Clock: n.clock,
+		Tasks: n.tasks, Logger: n.logger,
+		Facts: func(key string, rank uint64, payload []byte) bool {
+			set := n.fleet.SetFact(key, rank, payload)
+			n.moves.Refresh(n.table.Facts())
+			return set
+		},
+	})
+}
+
+func (n *Node) buildProxy(instruments *proxy.Metrics) {
+	s := n.settings
+	n.suspects = &proxy.Suspects{Clock: n.clock, Logger: n.logger, Publish: func(fingerprint uint64, crashes int) {
+		n.fleet.SetFact(suspectPrefix+strconv.FormatUint(fingerprint, 16)+"/"+s.Name, uint64(crashes), nil)
+	}}
+	n.gate = proxy.NewGate(proxy.GateOptions{
+		Names: n.platform.Headers, Config: &n.config, Versions: n.moves, Suspects: n.suspects, Clock: n.clock,
+		DrainPeriod: s.DrainPeriod.Duration(), Logger: n.logger, Metrics: instruments,
+		Changed: func() { n.keeper.refresh() },
+	})
+	n.keeper = &targetKeeper{
+		service: s.Service, address: s.TargetAddress, heartbeat: s.Heartbeat.Duration(), gate: n.gate,
+		update: n.fleet.Update, clock: n.clock, logger: n.logger,
+	}
+	n.balancer, n.peers = proxy.NewBalancer(n.logger), proxy.NewPeers()
+	view := &directory{table: n.table, clock: n.clock, name: s.Name, zone: s.Domain}
+	ingress := proxy.NewIngress(proxy.IngressOptions{
+		Names: n.platform.Headers, Service: s.Service, Config: &n.config, Directory: view, Versions: n.moves,
+		Evidence: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers,
+		Budget:  proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), view.size),
+		Leaving: n.leaving.Load, Logger: n.logger, Metrics: instruments,
+	})
+	n.callers = newServer(ingress, n.logger)
+	n.daemons = newServer(proxy.Inbound{Target: n.gate}, n.logger)
+}
+
+// Run serves until ctx ends, then drains.
+func (n *Node) Run(ctx context.Context) error {
+	eventStarted.Log(n.logger, zap.String("name", n.settings.Name), zap.String("domain", n.settings.Domain),
+		zap.String("service", n.settings.Service), zap.Uint64("incarnation", n.table.Own().Incarnation))
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.start(background)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-n.failed:
+	}
+	cut := n.drain()
+	stop()
+	n.running.Wait()
+	n.tasks.Release()
+	eventStopped.Log(n.logger, zap.Int("cut", cut))
+	return err
+}
+
+func (n *Node) start(ctx context.Context) {
+	edge := n.platform.Edge
+	n.task("fleet server", func() error { return n.fleet.Serve(ctx, n.listeners["fleet"]) })
+	n.task("fleet", func() error { n.fleet.Run(ctx); return nil })
+	n.task("announcements", func() error { return edge.ServeAnnouncements(ctx, n.listeners["announcements"], n.keeper) })
+	n.task("readiness", func() error { return edge.ServeReadiness(ctx, n.listeners["readiness"], n.ready) })
+	n.task("register", func() error { n.register(ctx); return nil })
+	n.task("configuration", func() error { n.configFollower().run(ctx); return nil })
+	n.task("orders", func() error { n.orderFollower().run(ctx); return nil })
+	n.task("moves", func() error { n.control.Run(ctx); return nil })
+	n.task("refresh", func() error { n.refresh(ctx); return nil })
+	n.task("callers", func() error { return n.callers.serve(n.listeners["callers"]) })
+	n.task("daemons", func() error { return n.daemons.serve(n.listeners["daemons"]) })
+	if listener := n.listeners["metrics"]; listener != nil {
+		n.task("metrics", func() error { return telemetry.ServeMetrics(ctx, listener, n.metrics) })
+	}
+}
+
+// task starts a part of the daemon. An error stops the daemon.
+func (n *Node) task(part string, run func() error) {
+	n.running.Add(1)
+	work := func() {
+		defer n.running.Done()
+		err := run()
+		if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		eventPartFailed.Log(n.logger, zap.String("part", part), zap.Error(err))
+		select {
+		case n.failed <- &StartError{part, err}:
+		default:
+		}
+	}
+	if err := n.tasks.Submit(work); err != nil {
+		n.running.Done()
+		n.failed <- &StartError{part, err}
+	}
+}
+
+// ready reports whether the daemon can serve requests.
+func (n *Node) ready() bool { return !n.leaving.Load() && n.config.Load() != nil }
+
+// refresh passes news of the fleet on to the other parts, and cleans up.
+func (n *Node) refresh(ctx context.Context) {
+	report := time.NewTicker(reportInterval)
+	defer report.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	wasReady := false
+	for {
+		changed := n.table.Changed()
+		facts := n.table.Facts()
+		n.moves.Refresh(facts)
+		n.learnSuspects(facts)
+		if ready := n.ready(); ready && !wasReady {
+			wasReady = true
+			eventReady.Log(n.logger, zap.Uint64("config", n.config.Load().Version()), zap.Int("members", len(n.table.Live())))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-report.C:
+			n.keeper.check()
+			n.report(ctx)
+		case <-sweep.C:
+			n.gate.Sweep()
+			n.peers.Sweep()
+			n.balancer.Sweep()
+		}
+	}
+}
+
+// learnSuspects takes the crashes that other daemons saw.
+func (n *Node) learnSuspects(facts []fleet.Fact) {
+	for _, fact := range facts {
+		rest, ok := strings.CutPrefix(fact.Key, suspectPrefix)
+		if !ok {
+			continue
+		}
+		text, daemon, _ := strings.Cut(rest, "/")
+		fingerprint, err := strconv.ParseUint(text, 16, 64)
+		if err == nil && daemon != n.settings.Name {
+			n.suspects.Learn(daemon, fingerprint, int(fact.Rank))
+		}
+	}
+}
+
+// report hands the own evidence to the daemons that may judge it.
+func (n *Node) report(ctx context.Context) {
+	report := n.recorder.Report(n.table.Own().Incarnation, n.gate.BusyAt)
+	if report == nil {
+		return
+	}
+	payload := rollout.Encode(report)
+	for _, name := range rollout.Candidates(n.table) {
+		if name == n.settings.Name {
+			n.takeReport(name, payload)
+			continue
+		}
+		if err := n.tasks.Submit(func() { n.fleet.ReportTo(ctx, name, payload) }); err != nil {
+			eventRegisterFailed.Log(n.logger, zap.String("access", "report"), zap.Error(err))
+		}
+	}
+}
+
+func (n *Node) takeReport(from string, payload []byte) {
+	var report rollout.Report
+	if err := json.Unmarshal(payload, &report); err != nil {
+		rollout.LogReportRejected(n.logger, from, err)
+		return
+	}
+	n.collector.Take(from, &report)
+}
--- /dev/null
+++ b/pkg/node/server.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/proxy"
+)
+
+// server is an HTTP server that counts the requests under way.
+type server struct {
+	http   *http.Server
+	active atomic.Int64
+}
+
+func newServer(handler http.Handler, logger *zap.Logger) *server {
+	s := &server{}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.active.Add(1)
+			defer s.active.Add(-1)
+			handler.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: proxy.ServerLog(logger),
+	}
+	return s
+}
+
+func (s *server) serve(listener net.Listener) error { return s.http.Serve(listener) }
+
+// close ends the server: connections without a request at once, the others by
+// the deadline. It returns the number of requests that were cut.
+func (s *server) close(timeout time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) == nil {
+		return 0
+	}
+	cut := s.active.Load()
+	_ = s.http.Close()
+	return int(cut)
+}
--- /dev/null
+++ b/pkg/proxy/budget.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// ratioShare is the part of the fleet's retry ratio that daemons spend. The
+	// rest is left for repeated runs whose own calls count as repeats at the
+	// services that they call.
+	ratioShare = 0.6
+	// slackShare is the part of the fleet's fixed slack that is given out.
+	slackShare = 0.7
+)
+
+// RetryBudget bounds the repeats of the whole fleet: each daemon spends a ratio
+// of its own requests, and its share of a fixed slack.
+type RetryBudget struct {
+	ratio   float64 // of the requests to a service within window
+	slack   float64 // of the whole fleet within window
+	window  time.Duration
+	daemons func() int
+
+	mu       sync.Mutex
+	services map[string]*serviceBudget
+}
+
+type serviceBudget struct {
+	credit float64 // from own requests
+	slack  *rate.Limiter
+}
+
+// NewRetryBudget returns a budget of ratio times the requests plus slack within
+// each window, for a fleet whose size daemons returns.
+func NewRetryBudget(ratio, slack float64, window time.Duration, daemons func() int) *RetryBudget {
+	return &RetryBudget{ratio: ratio, slack: slack, window: window, daemons: daemons, services: make(map[string]*serviceBudget)}
+}
+
+func (b *RetryBudget) service(name string) *serviceBudget {
+	s := b.services[name]
+	if s == nil {
+		s = &serviceBudget{slack: rate.NewLimiter(0, 0)}
+		b.services[name] = s
+	}
+	return s
+}
+
+// Request counts the first attempt of a request to a service.
+func (b *RetryBudget) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.credit = min(s.credit+b.ratio*ratioShare, b.share())
+}
+
+// share is the daemon's part of the slack within one window. Half of it may be
+// saved up as credit, half refills over the window.
+func (b *RetryBudget) share() float64 { return b.slack * slackShare / float64(max(1, b.daemons())) / 2 }
+
+// Spend reports whether a repeat to a service is within the budget, and counts it.
+func (b *RetryBudget) Spend(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	if s.credit >= 1 {
+		s.credit--
+		return true
+	}
+	share := max(1, b.share())
+	s.slack.SetLimit(rate.Limit(share / b.window.Seconds()))
+	if s.slack.Burst() == 0 {
+		s.slack = rate.NewLimiter(rate.Limit(share/b.window.Seconds()), int(share))
+	}
+	return s.slack.Allow()
+}
--- /dev/null
+++ b/pkg/proxy/gate.go
@@ -0,0 +1,425 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/routing"
+)
+
+const (
+	// minTimeLeft is the shortest time with which a call is worth sending.
+	minTimeLeft = 10 * time.Millisecond
+	// leaveShare is the part of the drain period in which a leaving target still
+	// gets calls that were chosen before the news spread.
+	leaveShare = 0.5
+	// freshIdle is the idle time up to which a connection carries a request that
+	// must not run twice: an older one may be closed while the request is on its
+	// way, and then nobody knows whether it ran.
+	freshIdle = time.Second
+	// downPause is the time for which a target that refused a connection gets no
+	// further attempt.
+	downPause = 250 * time.Millisecond
+	// refusedRetry is the time to come back that a refusal without a better
+	// estimate states.
+	refusedRetry = 100 * time.Millisecond
+)
+
+// LocalTarget is the target beside the daemon.
+type LocalTarget struct {
+	ID      string
+	Service string
+	Version string
+	Address string
+	Slots   int
+}
+
+// VersionPolicy tells which versions of a service may be used.
+type VersionPolicy interface {
+	// Allowed reports whether a request may run on a version of a service.
+	Allowed(service, version string) bool
+}
+
+// GateOptions configure a Gate.
+type GateOptions struct {
+	Names       HeaderNames
+	Config      *routing.Current
+	Versions    VersionPolicy
+	Suspects    *Suspects
+	Clock       clock.Clock
+	DrainPeriod time.Duration // from the acknowledged leaving to the last request
+	Logger      *zap.Logger
+	Metrics     *Metrics
+	Changed     func() // called when the target accepts no connection, or does again
+}
+
+// Gate is the target side of a daemon.
+type Gate struct {
+	GateOptions
+
+	mu       sync.Mutex
+	target   *LocalTarget
+	slots    *admission
+	conns    *pool
+	leaveEnd clock.Instant // no request is sent later, 0 while it does not leave
+	downTill clock.Instant
+	down     bool
+	inFlight map[*Call]struct{}
+}
+
+// NewGate returns a gate without a target.
+func NewGate(options GateOptions) *Gate {
+	return &Gate{GateOptions: options, inFlight: make(map[*Call]struct{})}
+}
+
+// SetTarget names the target, which has just been heard. A target with another
+// ID replaces the former one.
+func (g *Gate) SetTarget(t LocalTarget) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target != nil && g.target.ID == t.ID && g.target.Address == t.Address {
+		g.slots.resize(t.Slots)
+		g.target, g.down = &t, false
+		return
+	}
+	g.closeLocked(ReasonNoTarget)
+	g.target, g.slots, g.conns = &t, newAdmission(t.Slots), newPool(t.Address)
+	g.leaveEnd, g.down = 0, false
+}
+
+// Leave stops new work for the target: calls already on their way are still
+// taken for part of the drain period.
+func (g *Gate) Leave(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil || g.target.ID != id || g.leaveEnd != 0 {
+		return
+	}
+	wait := time.Duration(float64(g.DrainPeriod) * leaveShare)
+	g.leaveEnd = g.Clock.Now().Add(wait)
+	slots := g.slots
+	time.AfterFunc(wait, func() { slots.close(ReasonLeaving) })
+}
+
+// Close refuses every further call.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closeLocked(ReasonLeaving)
+}
+
+func (g *Gate) closeLocked(reason string) {
+	if g.target == nil {
+		return
+	}
+	g.slots.close(reason)
+	g.conns.close()
+	g.target = nil
+}
+
+// Load returns the load of the target, nil without one.
+func (g *Gate) Load() *Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil {
+		return nil
+	}
+	return g.slots.load()
+}
+
+// Down reports whether the target accepts no connections.
+func (g *Gate) Down() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.down
+}
+
+// Sweep closes idle connections; it is called periodically.
+func (g *Gate) Sweep() {
+	g.mu.Lock()
+	conns := g.conns
+	g.mu.Unlock()
+	if conns != nil {
+		conns.sweep()
+	}
+}
+
+// admit checks a call and returns what it needs to run.
+func (g *Gate) admit(call *Call) (*LocalTarget, *admission, *pool, string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	switch {
+	case g.target == nil || g.target.ID != call.Target || g.target.Service != call.Service:
+		return nil, nil, nil, ReasonNoTarget
+	case g.leaveEnd != 0 && now >= g.leaveEnd:
+		return nil, nil, nil, ReasonLeaving
+	case now < g.downTill:
+		return nil, nil, nil, ReasonTargetDown
+	}
+	return g.target, g.slots, g.conns, g.policy(call)
+}
+
+// policy checks a call against the configuration and the versions in force.
+func (g *Gate) policy(call *Call) string {
+	table := g.Config.Load()
+	if table.Version() > call.ConfigVersion {
+		path, _, _ := strings.Cut(call.URI, "?")
+		if route := table.Match(call.Host, path); route == nil || !route.Allows(call.Service) {
+			return ReasonStaleConfig
+		}
+	}
+	if !g.Versions.Allowed(g.target.Service, g.target.Version) {
+		return ReasonVersion
+	}
+	if g.Suspects.Refuses(call) {
+		return ReasonSuspect
+	}
+	if time.Until(call.Deadline) < minTimeLeft {
+		return ReasonExpired
+	}
+	return ""
+}
+
+// Do implements TargetSide.
+func (g *Gate) Do(ctx context.Context, call *Call) *Answer {
+	arrived := time.Now()
+	target, slots, conns, reason := g.admit(call)
+	if reason == "" {
+		reason = slots.acquire(ctx, call)
+	}
+	if reason == "" {
+		// The wait may have changed what may be sent.
+		if _, _, _, reason = g.admit(call); reason != "" {
+			slots.release(0)
+		}
+	}
+	waited := time.Since(arrived)
+	if reason != "" {
+		answer := refusal(reason, refusedRetry)
+		if slots != nil {
+			answer.Load = slots.load()
+			answer.RetryAfter = max(answer.Load.Wait, refusedRetry)
+		}
+		g.log(call, answer, waited)
+		return answer
+	}
+	answer := g.run(ctx, call, target, slots, conns)
+	g.log(call, answer, waited)
+	return answer
+}
+
+func (g *Gate) log(call *Call, answer *Answer, waited time.Duration) {
+	fields := []zap.Field{
+		zap.String("request", call.ID), zap.String("route", call.Route), zap.String("target", call.Target),
+		zap.String("outcome", string(answer.Outcome)), zap.Int("attempt", call.Attempt), zap.Duration("waited", waited),
+		zap.Uint64("caller_config", call.ConfigVersion), zap.Uint64("config", g.Config.Load().Version()),
+		zap.Duration("left", time.Until(call.Deadline)),
+	}
+	if answer.Load != nil {
+		fields = append(fields, zap.Int("busy", answer.Load.Busy), zap.Int("queued", answer.Load.Queued))
+	}
+	if answer.Status != 0 {
+		fields = append(fields, zap.Int("status", answer.Status), zap.Duration("ran", answer.Ran))
+	}
+	if answer.Reason != "" {
+		fields = append(fields, zap.String("reason", answer.Reason))
+	}
+	eventAttempt.Log(g.Logger, fields...)
+}
+
+// run sends a call that holds a slot to the target.
+func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission, conns *pool) *Answer {
+	g.track(call, true)
+	started := time.Now()
+	finish := func(ran time.Duration) {
+		g.track(call, false)
+		slots.release(ran)
+	}
+	maxIdle := time.Hour
+	if !call.Kind.Repeatable() {
+		maxIdle = freshIdle
+	}
+	c, err := conns.get(ctx, maxIdle)
+	if err != nil {
+		finish(0)
+		g.unreachable(ctx, err)
+		return &Answer{Outcome: Refused, Reason: ReasonTargetDown, RetryAfter: refusedRetry, Load: slots.load()}
+	}
+	g.reachable()
+	x, err := c.roundTrip(ctx, g.outgoing(call, target))
+	if err != nil {
+		conns.discard(c)
+		g.crashed(err)
+		finish(0)
+		return &Answer{Outcome: Unknown, Reason: err.Error(), Load: slots.load()}
+	}
+	return g.answer(call, x, started, conns, finish, slots)
+}
+
+func (g *Gate) outgoing(call *Call, target *LocalTarget) *outgoing {
+	header := endToEnd(call.Header)
+	header.Set(g.Names.TimeLeft, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
+	header.Set(g.Names.ExpectedTarget, target.ID)
+	header.Set(g.Names.CallerService, call.CallerService)
+	return &outgoing{
+		method: call.Method, uri: call.URI, host: call.Host, header: header, body: call.Body,
+		idHeader: g.Names.RequestID, id: call.ID, notRunHeader: g.Names.NotRun,
+	}
+}
+
+// answer turns the head of the target's answer into the outcome.
+func (g *Gate) answer(
+	call *Call, x *exchange, started time.Time, conns *pool, finish func(time.Duration), slots *admission,
+) *Answer {
+	r := x.response
+	load := slots.load()
+	body := &answerBody{exchange: x, pool: conns, done: func(whole bool) {
+		if whole && r.StatusCode < http.StatusInternalServerError {
+			finish(time.Since(started))
+		} else {
+			finish(0)
+		}
+	}}
+	if r.Header.Get(g.Names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest {
+		_, _ = io.Copy(io.Discard, body) // an incomplete refusal is still one
+		_ = body.Close()
+		return &Answer{
+			Outcome: Rejected, Reason: "status " + strconv.Itoa(r.StatusCode), Status: r.StatusCode,
+			RetryAfter: max(load.Wait, refusedRetry), Load: load,
+		}
+	}
+	if reason := g.invalid(r); reason != "" {
+		_ = body.Close()
+		return &Answer{Outcome: Unknown, Reason: reason, Load: load}
+	}
+	return &Answer{
+		Outcome: Answered, Status: r.StatusCode, Header: endToEnd(r.Header), Length: r.ContentLength, Body: body,
+		Load: load, Ran: time.Since(started),
+	}
+}
+
+// invalid tells why an answer cannot be the target's own.
+func (g *Gate) invalid(r *http.Response) string {
+	success := r.StatusCode >= 200 && r.StatusCode < 300
+	switch {
+	case success && r.Header.Get(g.Names.Signature) == "":
+		return "answer without a signature"
+	case r.Header.Get("Content-Encoding") != "":
+		return "answer with a content encoding"
+	}
+	return ""
+}
+
+// answerBody reads the body of a target's answer and returns the connection to
+// the pool when it was read whole.
+type answerBody struct {
+	exchange *exchange
+	pool     *pool
+	done     func(whole bool)
+	once     sync.Once
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.exchange.response.Body.Read(p)
+	if err != nil {
+		b.end(errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close implements io.Closer. A body that was not read whole ends its connection.
+func (b *answerBody) Close() error {
+	b.end(b.exchange.response.Body == http.NoBody)
+	return nil
+}
+
+func (b *answerBody) end(whole bool) {
+	b.once.Do(func() {
+		if !whole {
+			b.exchange.abort()
+		}
+		if whole && b.exchange.finish() && b.exchange.bodySent() {
+			b.pool.put(b.exchange.conn)
+		} else {
+			b.pool.discard(b.exchange.conn)
+		}
+		b.done(whole)
+	})
+}
+
+func (g *Gate) track(call *Call, on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if on {
+		g.inFlight[call] = struct{}{}
+	} else {
+		delete(g.inFlight, call)
+	}
+}
+
+// crashed reports the calls in flight when the target broke a connection off,
+// if it then accepts no new one.
+func (g *Gate) crashed(err error) {
+	var failed *ConnError
+	if !errors.As(err, &failed) || failed.Phase != "read" {
+		return
+	}
+	g.mu.Lock()
+	calls := make([]*Call, 0, len(g.inFlight))
+	for call := range g.inFlight {
+		calls = append(calls, call)
+	}
+	target := g.target
+	g.mu.Unlock()
+	if target != nil {
+		g.Suspects.Check(target.Address, calls)
+	}
+}
+
+func (g *Gate) unreachable(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	g.mu.Lock()
+	g.downTill = g.Clock.Now().Add(downPause)
+	changed := !g.down
+	g.down = true
+	g.mu.Unlock()
+	if changed {
+		eventTargetDown.Log(g.Logger, zap.Error(err))
+		g.Changed()
+	}
+}
+
+func (g *Gate) reachable() {
+	g.mu.Lock()
+	changed := g.down
+	g.down = false
+	g.mu.Unlock()
+	if changed {
+		eventTargetUp.Log(g.Logger)
+		g.Changed()
+	}
+}
+
+// BusyAt returns the number of requests at the target if it serves a service in
+// a version other than the given one.
+func (g *Gate) BusyAt(service, newVersion string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil || g.target.Service != service || g.target.Version == newVersion {
+		return 0
+	}
+	return len(g.inFlight)
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"net"
+	"strings"
+	"sync/atomic"
+)
+
+// Table is a configuration compiled for matching. It is immutable.
+type Table struct {
+	Config   *Config
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+}
+
+// NewTable compiles a configuration.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, hosts: make(map[string]map[string]*Route), services: make(map[string]*Service)}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		host := strings.ToLower(route.Host)
+		if t.hosts[host] == nil {
+			t.hosts[host] = make(map[string]*Route)
+		}
+		t.hosts[host][route.Prefix] = route
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Version returns the version of the configuration, 0 for a nil table.
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.Config.Version
+}
+
+// Service returns what the configuration says of a service, or nil.
+func (t *Table) Service(name string) *Service {
+	if t == nil {
+		return nil
+	}
+	return t.services[name]
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	prefixes := t.hosts[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, ok := prefixes[path[:end+1]]; ok {
+			return route
+		}
+	}
+	return nil
+}
+
+// Current holds the configuration in force. It never goes back to an older
+// version.
+type Current struct{ table atomic.Pointer[Table] }
+
+// Load returns the table in force, nil before the first one.
+func (c *Current) Load() *Table { return c.table.Load() }
+
+// Advance puts a configuration in force if it is newer than the held one.
+func (c *Current) Advance(config *Config) bool {
+	var next *Table
+	for {
+		held := c.table.Load()
+		if held != nil && held.Config.Version >= config.Version {
+			return false
+		}
+		if next == nil {
+			next = NewTable(config)
+		}
+		if c.table.CompareAndSwap(held, next) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/pkg/telemetry/serve.go
@@ -0,0 +1,27 @@
+package telemetry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+// metricsPath is where scrapers look by default.
+const metricsPath = "/metrics"
+
+// ServeMetrics answers scrapers until ctx ends.
+func ServeMetrics(ctx context.Context, listener net.Listener, metrics *Metrics) error {
+	h := server.New(server.WithListener(listener), server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true), server.WithExitWaitTime(time.Second))
+	h.GET(metricsPath, adaptor.HertzHandler(metrics.Handler))
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	if err := h.Run(); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
