Reload settings on SIGHUP, and refuse requests that could not end before a stop

Change: SIGHUP and a changed file reload what can change; from 3 s after a stop signal on new requests are refused as not run.

--- a/cmd/nutmegstandd/main.go
+++ b/cmd/nutmegstandd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"go.uber.org/zap"
@@ -27,11 +28,21 @@
 	exitBadUsage = 2
 )
 
+// settingsPoll is the time between looks at the settings file, which may change
+// without a signal.
+const settingsPoll = 5 * time.Second
+
 // runner is a daemon that is ready to run.
-type runner interface{ Run(ctx context.Context) error }
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// reloader is a daemon that takes changed settings while it runs.
+type reloader interface{ Reload(file string) }
 
 // program is what the settings ask for.
 type program struct {
+	file        string
 	memoryLimit int64
 	level       zapcore.Level
 	build       func(*zap.Logger) (runner, error)
@@ -75,6 +86,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	if r, ok := d.(reloader); ok {
+		go p.watchSettings(ctx, r)
+	}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -82,13 +96,46 @@
 	return 0
 }
 
+// watchSettings reloads the settings on SIGHUP and when the file has changed.
+func (p *program) watchSettings(ctx context.Context, r reloader) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	held := modified(p.file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if modified(p.file).Equal(held) {
+				continue
+			}
+		}
+		held = modified(p.file)
+		r.Reload(p.file)
+	}
+}
+
+// modified returns the time of a file's last change, zero if it cannot be read;
+// the reload then reports why.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func loadDaemon(file string) (*program, error) {
 	s, err := settings.Load(file)
 	if err != nil {
 		return nil, err
 	}
 	return &program{
-		memoryLimit: s.MemoryLimitBytes, level: s.Log.ZapLevel(),
+		file: file, memoryLimit: s.MemoryLimitBytes, level: s.Log.ZapLevel(),
 		build: func(l *zap.Logger) (runner, error) { return daemon.New(s, l) },
 	}, nil
 }
@@ -103,7 +150,7 @@
 		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
 	}
 	return &program{
-		memoryLimit: s.MemoryLimitBytes, level: zapcore.InfoLevel,
+		file: file, memoryLimit: s.MemoryLimitBytes, level: zapcore.InfoLevel,
 		build: func(l *zap.Logger) (runner, error) { return node.New(s, p, l) },
 	}, nil
 }
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +14,7 @@
 	// two missed questions, a second apart, and a request after that.
 	minDrain = 3 * time.Second
 	// stopMargin is left between the last request and the kill.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 250 * time.Millisecond
 	// drainPoll is the time between looks at the requests under way.
 	drainPoll = 50 * time.Millisecond
 	// closeTimeout bounds the end of the servers after the drain.
@@ -27,9 +28,11 @@
 	started := time.Now()
 	eventDraining.Log(n.logger, zap.Int64("callers", n.callers.active.Load()), zap.Int64("daemons", n.daemons.active.Load()))
 	n.leaving.Store(true)
+	refusing := time.AfterFunc(minDrain, func() { n.refusing.Store(true) })
+	defer refusing.Stop()
 	n.fleet.Update(func(s *fleet.State) { s.Leaving = true })
 	go n.unregister()
-	end := started.Add(n.settings.StopGrace.Duration() - stopMargin - closeTimeout)
+	end := started.Add(time.Duration(n.grace.Load()) - stopMargin - closeTimeout)
 	for time.Now().Before(end) {
 		idle := n.callers.active.Load() == 0 && n.daemons.active.Load() == 0
 		if idle && time.Since(started) >= minDrain {
@@ -41,3 +44,20 @@
 	n.gate.Close()
 	return cut + n.daemons.close(closeTimeout)
 }
+
+// Reload takes changed settings. Addresses stay as they were at the start.
+func (n *Node) Reload(file string) {
+	s, err := LoadSettings(file)
+	if err != nil {
+		eventReloadFailed.Log(n.logger, zap.Error(err))
+		return
+	}
+	n.budget.Set(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration())
+	n.gate.SetDrainPeriod(s.DrainPeriod.Duration())
+	n.grace.Store(int64(s.StopGrace.Duration()))
+	if s.MemoryLimitBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryLimitBytes)
+	}
+	eventReload.Log(n.logger, zap.Any("retries", s.Retries), zap.Duration("drain_period", s.DrainPeriod.Duration()),
+		zap.Duration("stop_grace", s.StopGrace.Duration()), zap.Int64("memory_limit", s.MemoryLimitBytes))
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -67,7 +67,10 @@
 	callers   *server
 	daemons   *server
 
+	budget    *proxy.RetryBudget
+	grace     atomic.Int64 // nanoseconds from a stop signal to the kill
 	leaving   atomic.Bool
+	refusing  atomic.Bool // new requests could not end before the stop
 	listeners map[string]net.Listener
 	running   sync.WaitGroup
 	failed    chan error
@@ -102,6 +105,7 @@
 	if err != nil {
 		return nil, &StartError{"metrics", err}
 	}
+	n.grace.Store(int64(s.StopGrace.Duration()))
 	n.buildFleet()
 	n.buildMoves()
 	n.buildProxy(instruments)
@@ -171,11 +175,11 @@
 	}
 	n.balancer, n.peers = proxy.NewBalancer(n.logger), proxy.NewPeers()
 	view := &directory{table: n.table, clock: n.clock, name: s.Name, zone: s.Domain}
+	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), view.size)
 	ingress := proxy.NewIngress(proxy.IngressOptions{
 		Names: n.platform.Headers, Service: s.Service, Config: &n.config, Directory: view, Versions: n.moves,
 		Evidence: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers,
-		Budget:  proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), view.size),
-		Leaving: n.leaving.Load, Logger: n.logger, Metrics: instruments,
+		Budget: n.budget, Leaving: n.leaving.Load, Refusing: n.refusing.Load, Logger: n.logger, Metrics: instruments,
 	})
 	n.callers = newServer(ingress, n.logger)
 	n.daemons = newServer(proxy.Inbound{Target: n.gate}, n.logger)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -17,7 +17,9 @@
 type Milliseconds float64
 
 // Duration converts the setting.
-func (m Milliseconds) Duration() time.Duration { return time.Duration(float64(m) * float64(time.Millisecond)) }
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(float64(m) * float64(time.Millisecond))
+}
 
 // Listen holds the addresses that the daemon serves.
 type Listen struct {
--- a/pkg/proxy/budget.go
+++ b/pkg/proxy/budget.go
@@ -39,6 +39,13 @@
 	return &RetryBudget{ratio: ratio, slack: slack, window: window, daemons: daemons, services: make(map[string]*serviceBudget)}
 }
 
+// Set changes the bounds of the fleet.
+func (b *RetryBudget) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack, b.window = ratio, slack, window
+}
+
 func (b *RetryBudget) service(name string) *serviceBudget {
 	s := b.services[name]
 	if s == nil {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -96,6 +96,13 @@
 	g.leaveEnd, g.down = 0, false
 }
 
+// SetDrainPeriod changes the drain period of later leavings.
+func (g *Gate) SetDrainPeriod(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.DrainPeriod = d
+}
+
 // Leave stops new work for the target: calls already on their way are still
 // taken for part of the drain period.
 func (g *Gate) Leave(id string) {
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -60,6 +60,7 @@
 	Gate      *Gate
 	Peers     *Peers
 	Leaving   func() bool // the daemon is about to stop
+	Refusing  func() bool // new requests could not end before the stop
 	Logger    *zap.Logger
 	Metrics   *Metrics
 }
@@ -100,6 +101,10 @@
 		i.refuse(w, id, "no_config", noConfigRetry, received)
 		return
 	}
+	if i.Refusing() {
+		i.refuse(w, id, "stopping", refusedRetry, received)
+		return
+	}
 	route := table.Match(r.Host, r.URL.Path)
 	if route == nil {
 		i.reject(w, r, http.StatusNotFound, "no_route", received)
