--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -9,8 +9,12 @@
 
 const (
 	// waitShare is the part of a request's latency objective that it may wait
-	// for a slot; the rest is needed for the work itself.
-	waitShare = 0.4
+	// for a slot. Slots stay in use with a short queue; a longer one only makes
+	// the answers late.
+	waitShare = 0.2
+	// objectiveShare is the part of the latency objective that the wait and the
+	// work together should take; the rest is left for the network and chance.
+	objectiveShare = 0.9
 	// minWait lets a request wait out a slot that is about to become free, even
 	// with a short objective.
 	minWait = 20 * time.Millisecond
@@ -26,26 +30,36 @@
 // waiter is a call in the queue of a target.
 type waiter struct {
 	priority int
-	deadline time.Time // of its wait
+	due      time.Time // deadline of the call
+	until    time.Time // end of its patience
 	ready    chan string
 }
 
-// admission gives out the slots of one target. Waiting calls are ordered by
-// priority, then by arrival.
+// before orders waiting calls: by priority, then by deadline, so that a request
+// that was refused before comes first.
+func (w *waiter) before(o *waiter) bool {
+	if w.priority != o.priority {
+		return w.priority < o.priority
+	}
+	return w.due.Before(o.due)
+}
+
+// admission gives out the slots of one target.
 type admission struct {
 	mu      sync.Mutex
 	slots   int
 	busy    int
 	queue   []*waiter
 	service time.Duration // average time of a request in the target
-	closed  string        // reason, if no slot is given out any more
+	routes  map[string]time.Duration
+	closed  string // reason, if no slot is given out any more
 }
 
 func newAdmission(slots int) *admission {
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return &admission{slots: slots, service: defaultService}
+	return &admission{slots: slots, service: defaultService, routes: make(map[string]time.Duration)}
 }
 
 // acquire waits for a slot. It returns the reason of a refusal, empty if the
@@ -62,17 +76,15 @@
 		return ""
 	}
 	patience := a.patience(call)
-	if a.expectedWait(a.ahead(call.Priority)) > patience {
+	w := &waiter{priority: call.Priority, due: call.Deadline, until: time.Now().Add(patience), ready: make(chan string, 1)}
+	at := slices.IndexFunc(a.queue, w.before)
+	if at < 0 {
+		at = len(a.queue)
+	}
+	if a.expectedWait(at) > patience {
 		defer a.mu.Unlock()
 		return ReasonQueueFull
 	}
-	w := &waiter{priority: call.Priority, deadline: time.Now().Add(patience), ready: make(chan string, 1)}
-	at, _ := slices.BinarySearchFunc(a.queue, w, func(x, y *waiter) int {
-		if x.priority <= y.priority {
-			return -1
-		}
-		return 1
-	})
 	a.queue = slices.Insert(a.queue, at, w)
 	a.mu.Unlock()
 	return a.wait(ctx, w, patience)
@@ -105,18 +117,13 @@
 
 // patience is the time that a call may wait.
 func (a *admission) patience(call *Call) time.Duration {
-	wait := max(time.Duration(float64(call.Objective)*waitShare), minWait)
-	return min(wait, time.Until(call.Deadline)-a.service)
-}
-
-func (a *admission) ahead(priority int) int {
-	n := 0
-	for _, w := range a.queue {
-		if w.priority <= priority {
-			n++
-		}
+	work := a.service
+	if known := a.routes[call.Route]; known > 0 {
+		work = known
 	}
-	return n
+	objective := float64(call.Objective)
+	wait := min(time.Duration(objective*waitShare), time.Duration(objective*objectiveShare)-work)
+	return min(max(wait, minWait), time.Until(call.Deadline)-work)
 }
 
 // expectedWait is the time until a slot is free for a call behind n others.
@@ -129,11 +136,16 @@
 
 // release gives a slot back. ran is the time in the target, 0 if it is no
 // measure of it.
-func (a *admission) release(ran time.Duration) {
+func (a *admission) release(route string, ran time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if ran > 0 {
 		a.service += time.Duration(serviceWeight * float64(ran-a.service))
+		if known, ok := a.routes[route]; ok {
+			a.routes[route] = known + time.Duration(serviceWeight*float64(ran-known))
+		} else {
+			a.routes[route] = ran
+		}
 	}
 	a.releaseLocked()
 }
@@ -144,7 +156,7 @@
 	for len(a.queue) > 0 && a.busy < a.slots {
 		w := a.queue[0]
 		a.queue = a.queue[1:]
-		if now.After(w.deadline) {
+		if now.After(w.until) {
 			w.ready <- ReasonQueueFull
 			continue
 		}
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -207,7 +207,7 @@
 	if reason == "" {
 		// The wait may have changed what may be sent.
 		if _, _, _, reason = g.admit(call); reason != "" {
-			slots.release(0)
+			slots.release(call.Route, 0)
 		}
 	}
 	waited := time.Since(arrived)
@@ -250,7 +250,7 @@
 	started := time.Now()
 	finish := func(ran time.Duration) {
 		g.track(call, false)
-		slots.release(ran)
+		slots.release(call.Route, ran)
 	}
 	maxIdle := time.Hour
 	if !call.Kind.Repeatable() {
--- /dev/null
+++ b/pkg/proxy/mesh_test.go
@@ -0,0 +1,166 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/proxy"
+	"nutmegstand.example/nutmegstand/pkg/proxy/proxytest"
+	"nutmegstand.example/nutmegstand/pkg/routing"
+)
+
+const (
+	testService = "catalogue"
+	testDrain   = 400 * time.Millisecond
+)
+
+// side is a target with its gate and the server that other daemons call.
+type side struct {
+	target *proxytest.Target
+	gate   *proxy.Gate
+	server *httptest.Server
+}
+
+// mesh is one caller side with several target sides.
+type mesh struct {
+	t       *testing.T
+	config  *routing.Current
+	clock   *clock.Manual
+	sides   []*side
+	entries []*proxy.Endpoint
+	caller  *httptest.Server
+	version string // that the policy forbids
+}
+
+// Endpoints implements proxy.Directory.
+func (m *mesh) Endpoints(string) []*proxy.Endpoint { return m.entries }
+
+// Allowed implements proxy.VersionPolicy.
+func (m *mesh) Allowed(_, version string) bool { return version != m.version }
+
+// Choose implements proxy.VersionChooser.
+func (m *mesh) Choose(_ string, endpoints []*proxy.Endpoint) []*proxy.Endpoint { return endpoints }
+
+// Attempt implements proxy.Evidence.
+func (m *mesh) Attempt(string, string, string, bool, time.Duration) {}
+
+func testRoutes() []routing.Route {
+	split := []routing.Share{{Service: testService, Weight: 1}}
+	base := routing.Route{Host: "fish.example", Timeout: 2 * time.Second, Objective: time.Second, Attempts: 2, Split: split}
+	look, order, short := base, base, base
+	look.Name, look.Prefix, look.Kind = "look", "/look/", routing.Idempotent
+	order.Name, order.Prefix, order.Kind = "order", "/order/", routing.NonIdempotent
+	short.Name, short.Prefix, short.Kind, short.Timeout = "short", "/short/", routing.NonIdempotent, 200*time.Millisecond
+	return []routing.Route{look, order, short}
+}
+
+// newMesh starts a caller side and n target sides with a target each.
+func newMesh(t *testing.T, n int) *mesh {
+	t.Helper()
+	m := &mesh{t: t, config: &routing.Current{}, clock: &clock.Manual{}}
+	m.config.Advance(&routing.Config{Version: 1, Routes: testRoutes(), Limits: routing.Limits{BodyBytes: 32 << 20}})
+	suspects := &proxy.Suspects{Clock: m.clock, Logger: zap.NewNop(), Publish: func(uint64, int) {}}
+	for i := range n {
+		s := &side{target: proxytest.New(t)}
+		s.gate = proxy.NewGate(proxy.GateOptions{
+			Names: proxytest.Names, Config: m.config, Versions: m, Suspects: suspects, Clock: m.clock, DrainPeriod: testDrain,
+			Logger: zap.NewNop(), Changed: func() {},
+		})
+		id := string(rune('a' + i))
+		s.gate.SetTarget(proxy.LocalTarget{ID: id, Service: testService, Version: "v1", Address: s.target.Address, Slots: 2})
+		s.server = httptest.NewServer(proxy.Inbound{Target: s.gate})
+		t.Cleanup(s.server.Close)
+		m.sides = append(m.sides, s)
+		m.entries = append(m.entries, &proxy.Endpoint{
+			Daemon: id, Address: s.server.Listener.Addr().String(), Target: id, Service: testService, Version: "v1", Slots: 2, Available: true,
+		})
+	}
+	m.caller = httptest.NewServer(proxy.NewIngress(proxy.IngressOptions{
+		Names: proxytest.Names, Service: "desk", Config: m.config, Directory: m, Versions: m, Evidence: m,
+		Balancer: proxy.NewBalancer(zap.NewNop()), Gate: m.sides[0].gate, Peers: proxy.NewPeers(),
+		Budget:  proxy.NewRetryBudget(0.2, 60, 10*time.Second, func() int { return 1 }),
+		Leaving: func() bool { return false }, Refusing: func() bool { return false }, Logger: zap.NewNop(),
+	}))
+	t.Cleanup(m.caller.Close)
+	return m
+}
+
+// all sets the handler of every target.
+func (m *mesh) all(h proxytest.Handler) {
+	for _, s := range m.sides {
+		s.target.Handle(h)
+	}
+}
+
+// arrivals counts the requests that reached targets.
+func (m *mesh) arrivals() int {
+	n := 0
+	for _, s := range m.sides {
+		n += len(s.target.Requests())
+	}
+	return n
+}
+
+// result is what a caller sees.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (m *mesh) request(ctx context.Context, path string, body io.Reader, length int64) result {
+	method := http.MethodGet
+	if body != nil {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequestWithContext(ctx, method, m.caller.URL+path, body)
+	assert.NilError(m.t, err)
+	r.Host = "fish.example"
+	r.ContentLength = length
+	r.Header.Set(proxytest.Names.RequestID, "id-1")
+	r.Header.Set(proxytest.Names.TimeLeft, "1500")
+	r.Header.Set(proxytest.Names.CallerService, "forged")
+	response, err := (&http.Transport{DisableCompression: true}).RoundTrip(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, response.Header, string(content), err}
+}
+
+func (m *mesh) get(path string) result { return m.request(m.t.Context(), path, nil, 0) }
+
+func (m *mesh) post(path, body string) result {
+	return m.request(m.t.Context(), path, strings.NewReader(body), int64(len(body)))
+}
+
+// resetConn ends a request's connection with a reset.
+func resetConn(r *proxytest.Request) bool {
+	proxytest.Reset(r.Conn)
+	return false
+}
+
+// deadAddress returns an address that refuses connections.
+func deadAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// targetOf is the target of the side with the given index.
+func targetOf(i int, s *side) proxy.LocalTarget {
+	return proxy.LocalTarget{ID: string(rune('a' + i)), Service: testService, Version: "v1", Address: s.target.Address, Slots: 2}
+}
--- a/test/docs/events_test.go
+++ b/test/docs/events_test.go
@@ -8,7 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
-	_ "nutmegstand.example/nutmegstand/pkg/daemon" // registers the events of every package
+	_ "nutmegstand.example/nutmegstand/pkg/daemon" // registers the events of the product's own interface
+	_ "nutmegstand.example/nutmegstand/pkg/node"   // and those of the platform's daemon
 	"nutmegstand.example/nutmegstand/pkg/telemetry"
 )
 
--- a/test/events/main.go
+++ b/test/events/main.go
@@ -4,7 +4,8 @@
 import (
 	"fmt"
 
-	_ "nutmegstand.example/nutmegstand/pkg/daemon" // registers the events of every package
+	_ "nutmegstand.example/nutmegstand/pkg/daemon" // registers the events of the product's own interface
+	_ "nutmegstand.example/nutmegstand/pkg/node"   // and those of the platform's daemon
 	"nutmegstand.example/nutmegstand/pkg/telemetry"
 )
 
