--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -21,6 +21,9 @@
 
 // Follower applies the plans of all services to the choice of targets.
 type Follower struct {
+	// Random draws the version of a request; tests replace it.
+	Random func() float64
+
 	logger *zap.Logger
 	plans  atomic.Pointer[map[string]*followed]
 
@@ -36,7 +39,7 @@
 
 // NewFollower returns a follower without plans.
 func NewFollower(logger *zap.Logger) *Follower {
-	f := &Follower{logger: logger, usual: make(map[string]string), undone: make(map[string][]string)}
+	f := &Follower{Random: rand.Float64, logger: logger, usual: make(map[string]string), undone: make(map[string][]string)}
 	f.plans.Store(&map[string]*followed{})
 	return f
 }
@@ -119,7 +122,7 @@
 		return f.chooseUsual(service, endpoints)
 	}
 	undone := f.Undone(service, p.Order)
-	wantNew := p.State == Active && !undone && rand.Float64() < p.Share
+	wantNew := p.State == Active && !undone && f.Random() < p.Share
 	var old, target []*proxy.Endpoint
 	for _, e := range endpoints {
 		switch {
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -16,9 +16,9 @@
 	// minAttempts is the number of attempts needed to compare latencies.
 	minAttempts = 8
 	// errorLimit is the log likelihood ratio from which on the new version counts
-	// as worse. With about a hundred looks at a move of seconds, chance reaches
-	// it in about one of a thousand good moves.
-	errorLimit = 7
+	// as worse. Chance exceeds it in about e^-9 of the looks; a move of seconds
+	// has some hundred of them, most of which see the same attempts.
+	errorLimit = 9
 	// excessRate is the failure rate above the old version's that matters.
 	excessRate = 0.08
 	// slowBuckets is the distance in latency buckets (half octaves) between the
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMatch guards against a shorter prefix, another host or part of a path
+// element that wins.
+func TestMatch(t *testing.T) {
+	table := NewTable(&Config{Routes: []Route{
+		{Name: "short", Host: "Fish.example", Prefix: "/a/"},
+		{Name: "long", Host: "fish.example", Prefix: "/a/b/"},
+		{Name: "root", Host: "all.example", Prefix: "/"},
+	}})
+	cases := map[[2]string]string{
+		{"fish.example", "/a/x"}:        "short",
+		{"fish.example", "/a/b/x"}:      "long",
+		{"fish.example", "/a/b"}:        "short",
+		{"FISH.example:8080", "/a/b/"}:  "long",
+		{"fish.example", "/ab/"}:        "",
+		{"fish.example", "/a"}:          "",
+		{"other.example", "/a/"}:        "",
+		{"all.example", "/any/thing.x"}: "root",
+	}
+	for from, want := range cases {
+		got := ""
+		if route := table.Match(from[0], from[1]); route != nil {
+			got = route.Name
+		}
+		assert.Equal(t, got, want, "%v", from)
+	}
+}
+
+// TestNeverBack guards against a daemon that returns to an older configuration.
+func TestNeverBack(t *testing.T) {
+	var current Current
+	assert.Assert(t, current.Advance(&Config{Version: 5}))
+	assert.Assert(t, !current.Advance(&Config{Version: 5}))
+	assert.Assert(t, !current.Advance(&Config{Version: 4}))
+	assert.Equal(t, current.Load().Version(), uint64(5))
+}
+
+// TestDelta guards against a difference that does not lead to the new version.
+func TestDelta(t *testing.T) {
+	configs := rapid.Custom(func(t *rapid.T) *Config {
+		c := &Config{Version: rapid.Uint64Range(1, 1000).Draw(t, "version")}
+		for i := range rapid.IntRange(0, 6).Draw(t, "routes") {
+			c.Routes = append(c.Routes, Route{
+				Name: strconv.Itoa(i * rapid.IntRange(1, 3).Draw(t, "name") * 7 % 11), Attempts: rapid.IntRange(0, 1).Draw(t, "attempts"),
+				Split: []Share{{Service: "s", Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))}},
+			})
+		}
+		c.Routes = unique(c.Routes)
+		return c
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := configs.Draw(t, "before"), configs.Draw(t, "after")
+		got, ok := before.Apply(after.Diff(before))
+		if !ok || got.Version != after.Version || len(got.Routes) != len(after.Routes) {
+			t.Fatalf("%+v is not %+v", got, after)
+		}
+		byName := make(map[string]*Route)
+		for i := range got.Routes {
+			byName[got.Routes[i].Name] = &got.Routes[i]
+		}
+		for i := range after.Routes {
+			if r := byName[after.Routes[i].Name]; r == nil || !r.equal(&after.Routes[i]) {
+				t.Fatalf("route %+v is %+v", after.Routes[i], r)
+			}
+		}
+	})
+}
+
+func unique(routes []Route) []Route {
+	seen := make(map[string]bool)
+	var kept []Route
+	for _, r := range routes {
+		if !seen[r.Name] {
+			seen[r.Name] = true
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// TestDeltaOfAnotherVersion guards against a delta that is applied to a
+// configuration it was not made for.
+func TestDeltaOfAnotherVersion(t *testing.T) {
+	_, ok := (&Config{Version: 3}).Apply(&Delta{From: 2, Version: 4})
+	assert.Assert(t, !ok)
+}
