--- /dev/null
+++ b/test/platform/standin/store.go
@@ -0,0 +1,315 @@
+// Package standin plays the users' platform in tests: its object store, with
+// the faults that the protocol allows, and the targets of a deployment.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Fault changes how the store treats one call.
+type Fault string
+
+// Faults of single calls.
+const (
+	Serve       Fault = ""            // no fault
+	Unavailable Fault = "unavailable" // 503, nothing is done
+	Throttled   Fault = "throttled"   // 429, nothing is done
+	Lost        Fault = "lost"        // done, and the connection ends without an answer
+	Late        Fault = "late"        // no answer now, done lateDelay later if its condition still holds
+	Silent      Fault = "silent"      // not done, no answer
+	Garbled     Fault = "garbled"     // done, with bytes that cannot be read
+)
+
+const (
+	// lateDelay is the delay of a late write.
+	lateDelay = 300 * time.Millisecond
+	// pageSize is the number of objects of one page of a list.
+	pageSize = 5
+)
+
+// Object is a stored object as it goes over the wire.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// Metadata are the store's own fields of an object.
+type Metadata struct {
+	Name            string   `json:"name"`
+	Revision        int64    `json:"revision"`
+	CreatedRev      int64    `json:"created_rev"`
+	Finalizers      []string `json:"finalizers"`
+	DeleteRequested bool     `json:"delete_requested"`
+}
+
+type change struct {
+	kind    string
+	object  Object
+	deleted bool
+	at      int64
+}
+
+// Store is an object store on loopback.
+type Store struct {
+	Address string
+
+	mu       sync.Mutex
+	objects  map[string]map[string]*Object // by kind and name
+	revision int64
+	history  []change
+	oldest   int64 // revision before the oldest kept change
+	changed  chan struct{}
+	fault    func(r *http.Request) Fault
+	calls    int
+}
+
+// NewStore starts a store.
+func NewStore(t testing.TB) *Store {
+	t.Helper()
+	s := &Store{
+		objects: make(map[string]map[string]*Object), revision: 1, changed: make(chan struct{}),
+		fault: func(*http.Request) Fault { return Serve },
+	}
+	server := httptest.NewServer(s)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	s.Address = server.Listener.Addr().String()
+	return s
+}
+
+// Inject sets the fault of later calls.
+func (s *Store) Inject(fault func(r *http.Request) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Always injects one fault into every call.
+func (s *Store) Always(f Fault) { s.Inject(func(*http.Request) Fault { return f }) }
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
+	s.notify()
+}
+
+// Put writes an object's spec as the operator does.
+func (s *Store) Put(kind, name string, spec any) {
+	content, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.objects[kind][name]
+	o := Object{Metadata: Metadata{Name: name}, Spec: content}
+	if held != nil {
+		o = *held
+		o.Spec = content
+	}
+	s.write(kind, &o, held == nil)
+}
+
+// Get returns an object, nil if it does not exist.
+func (s *Store) Get(kind, name string) *Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name]
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) write(kind string, o *Object, created bool) {
+	s.revision++
+	o.Metadata.Revision = s.revision
+	if created {
+		o.Metadata.CreatedRev = s.revision
+	}
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]*Object)
+	}
+	s.objects[kind][o.Metadata.Name] = o
+	s.history = append(s.history, change{kind: kind, object: *o, at: s.revision})
+	s.notify()
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	fault := s.fault(r)
+	s.mu.Unlock()
+	switch fault {
+	case Unavailable:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Throttled:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	// The server notices a caller that left only once the body was read.
+	content, err := io.ReadAll(r.Body)
+	var body Object
+	if err == nil && (r.Method == http.MethodPost || r.Method == http.MethodPut) {
+		err = json.Unmarshal(content, &body)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch fault {
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Late:
+		time.AfterFunc(lateDelay, func() { s.handle(httptest.NewRecorder(), r, &body) })
+		<-r.Context().Done()
+		return
+	}
+	if fault == Lost {
+		s.handle(httptest.NewRecorder(), r, &body)
+		panic(http.ErrAbortHandler)
+	}
+	if fault == Garbled {
+		s.handle(httptest.NewRecorder(), r, &body)
+		_, _ = w.Write([]byte("{\"items\": 7, \"metadata\": []"))
+		return
+	}
+	s.handle(w, r, &body)
+}
+
+func (s *Store) handle(w http.ResponseWriter, r *http.Request, body *Object) {
+	rest := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	parts := strings.Split(rest, "/")
+	kind, name := parts[0], ""
+	if len(parts) > 1 {
+		name = parts[1]
+	}
+	status := len(parts) > 2 && parts[2] == "status"
+	query := r.URL.Query()
+	switch {
+	case r.Method == http.MethodGet && query.Get("watch") != "":
+		s.watch(w, r, kind)
+		return
+	case r.Method == http.MethodGet && name == "":
+		s.list(w, kind, query.Get("after"))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodPost {
+		name = body.Metadata.Name
+	}
+	held := s.objects[kind][name]
+	expected := body.Metadata.Revision
+	if text := query.Get("revision"); text != "" {
+		expected, _ = strconv.ParseInt(text, 10, 64)
+	}
+	switch {
+	case r.Method == http.MethodPost && held != nil, held != nil && expected != 0 && expected != held.Metadata.Revision:
+		answer(w, http.StatusConflict, held)
+	case r.Method == http.MethodPost:
+		o := *body
+		s.write(kind, &o, true)
+		answer(w, http.StatusOK, &o)
+	case held == nil:
+		w.WriteHeader(http.StatusNotFound)
+	case r.Method == http.MethodDelete:
+		delete(s.objects[kind], name)
+		s.revision++
+		s.history = append(s.history, change{kind: kind, object: *held, deleted: true, at: s.revision})
+		s.notify()
+		answer(w, http.StatusOK, held)
+	case r.Method == http.MethodPut:
+		o := *held
+		if status {
+			o.Status = body.Status
+		} else {
+			o.Spec = body.Spec
+		}
+		s.write(kind, &o, false)
+		answer(w, http.StatusOK, &o)
+	default:
+		answer(w, http.StatusOK, held)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) list(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.objects[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	page := map[string]any{"at_rev": s.revision, "has_more": len(names) > pageSize}
+	items := []*Object{}
+	for _, name := range names[:min(len(names), pageSize)] {
+		items = append(items, s.objects[kind][name])
+	}
+	page["items"] = items
+	answer(w, http.StatusOK, page)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if from < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []map[string]any{}
+		for _, c := range s.history {
+			if c.kind == kind && c.at > from {
+				events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": events, "at_rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			answer(w, http.StatusOK, map[string]any{"events": events, "at_rev": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
