Count calls of repeated runs as repeats at the called service

Change: such calls draw on the budget of the called service, by the ID of the run in flight; attempts that were refused before a target make no repeat.

--- a/pkg/proxy/budget.go
+++ b/pkg/proxy/budget.go
@@ -67,6 +67,15 @@
 // saved up as credit, half refills over the window.
 func (b *RetryBudget) share() float64 { return b.slack * slackShare / float64(max(1, b.daemons())) / 2 }
 
+// Repeated counts a call of a repeated run, which is a repeat at the service that
+// is called. It is not refused, but own repeats to that service pause for it.
+func (b *RetryBudget) Repeated(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.credit = max(s.credit-1, -b.share())
+}
+
 // Spend reports whether a repeat to a service is within the budget, and counts it.
 func (b *RetryBudget) Spend(service string) bool {
 	b.mu.Lock()
@@ -76,6 +85,9 @@
 		s.credit--
 		return true
 	}
+	if s.credit < 0 {
+		return false
+	}
 	share := max(1, b.share())
 	s.slack.SetLimit(rate.Limit(share / b.window.Seconds()))
 	if s.slack.Burst() == 0 {
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -37,7 +37,8 @@
 
 	Target  string // ID of the chosen target
 	Version string // version of the chosen target
-	Attempt int    // 1 for the first target
+	Attempt int    // 1 for the first target side
+	Repeat  bool   // an earlier attempt may have reached a target
 
 	Method string
 	URI    string // path and query as sent
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -420,6 +420,27 @@
 	}
 }
 
+// callSeparator stands in the ID of a call that a target makes, between the ID
+// of the request that it runs and a part of the call's own.
+const callSeparator = "."
+
+// FromRepeat reports whether a request is a call of a run that was itself a
+// repeat. IDs of another form are taken for requests of clients.
+func (g *Gate) FromRepeat(id string) bool {
+	at := strings.LastIndex(id, callSeparator)
+	if at < 0 {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for call := range g.inFlight {
+		if call.ID == id[:at] {
+			return call.Repeat
+		}
+	}
+	return false
+}
+
 // BusyAt returns the number of requests at the target if it serves a service in
 // a version other than the given one.
 func (g *Gate) BusyAt(service, newVersion string) int {
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -36,6 +36,7 @@
 	CallerService string       `json:"c"`
 	ConfigVersion uint64       `json:"cv"`
 	Attempt       int          `json:"a"`
+	Repeat        bool         `json:"rp,omitempty"`
 	LeftUS        int64        `json:"l"` // time left in microseconds
 }
 
@@ -60,7 +61,7 @@
 	return encodeHeader(hopCall{
 		ID: c.ID, Route: c.Route, Service: c.Service, Target: c.Target, Version: c.Version, Kind: c.Kind,
 		Priority: c.Priority, ObjectiveMS: c.Objective.Milliseconds(), CallerService: c.CallerService,
-		ConfigVersion: c.ConfigVersion, Attempt: c.Attempt, LeftUS: time.Until(c.Deadline).Microseconds(),
+		ConfigVersion: c.ConfigVersion, Attempt: c.Attempt, Repeat: c.Repeat, LeftUS: time.Until(c.Deadline).Microseconds(),
 	})
 }
 
@@ -75,7 +76,7 @@
 	call := &Call{
 		ID: h.ID, Route: h.Route, Service: h.Service, Target: h.Target, Version: h.Version, Kind: h.Kind,
 		Priority: h.Priority, Objective: time.Duration(h.ObjectiveMS) * time.Millisecond,
-		CallerService: h.CallerService, ConfigVersion: h.ConfigVersion, Attempt: h.Attempt,
+		CallerService: h.CallerService, ConfigVersion: h.ConfigVersion, Attempt: h.Attempt, Repeat: h.Repeat,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
 		Received: now, Deadline: now.Add(time.Duration(h.LeftUS) * time.Microsecond),
 	}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -157,6 +157,10 @@
 		}
 	}
 	i.Budget.Request(f.call.Service)
+	if i.Gate.FromRepeat(f.call.ID) {
+		f.note("call of a repeated run")
+		i.Budget.Repeated(f.call.Service)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), f.call.Deadline)
 	defer cancel()
 	answer := f.attempts(ctx)
@@ -241,6 +245,7 @@
 func (f *flight) send(ctx context.Context, e *Endpoint) *Answer {
 	i := f.ingress
 	f.call.Attempt++
+	f.call.Repeat = f.arrivals > 0
 	began := time.Now()
 	var answer *Answer
 	if e.Local {
