Choose targets by route, link and room; tell the configuration by peers

Cause: the average run of a target mixed routes, so one target of archives took nine tenths of the look-ups; calls tried four full targets and never the free slow ones; downloads filled narrow links; every daemon read the operator's entries at its start. Change: runs are compared by route; a full target is avoided; six refusals; the link's transfer time and the measured overhead count; heads between daemons are protobuf; peers tell the configuration, followers alone read it.

--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -29,6 +29,7 @@
 	Zone          string  `json:"zone"`
 	CallAddress   string  `json:"callAddress"` // takes calls for the target
 	SyncAddress   string  `json:"syncAddress"` // serves the Fleet service
+	LinkMbps      float64 `json:"linkMbps,omitempty"`
 	Leaving       bool    `json:"leaving,omitempty"`
 	ConfigVersion uint64  `json:"configVersion,omitempty"`
 	StoreFails    bool    `json:"storeFails,omitempty"` // its calls to the store fail
--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -53,7 +53,7 @@
 		}
 		d.services[t.Service] = append(d.services[t.Service], &proxy.Endpoint{
 			Daemon: m.Name, Address: m.State.CallAddress, Near: m.State.Zone == d.zone, Local: m.Self,
-			Target: t.ID, Service: t.Service, Version: t.Version, Slots: t.Slots,
+			Target: t.ID, Service: t.Service, Version: t.Version, Slots: t.Slots, LinkMbps: m.State.LinkMbps,
 			WarmAt:    time.Now().Add(time.Duration(t.WarmInMS)*time.Millisecond - now.Sub(m.StateAt)),
 			Available: !t.Leaving && !t.Down && !m.State.Leaving && (m.Self || now.Sub(m.HeardAt) < silentTarget),
 		})
--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -43,6 +43,7 @@
 	for {
 		peers, err := n.tryRegister(ctx)
 		if err == nil {
+			n.registered.Store(true)
 			eventRegistered.Log(n.logger, zap.Int("peers", peers))
 			return
 		}
@@ -115,5 +116,6 @@
 func (n *Node) initialState() fleet.State {
 	return fleet.State{
 		Zone: n.settings.Domain, CallAddress: n.settings.Listen.Daemons, SyncAddress: n.settings.Listen.Fleet,
+		LinkMbps: n.settings.LinkMbps,
 	}
 }
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -25,8 +25,13 @@
 	// watchWait is the wait of one watch call. A path to the store that went
 	// silent shows after it; the other watchers carry on meanwhile.
 	watchWait = 3 * time.Second
+	// registerWait is the time in which a daemon finds its peers before it reads
+	// the operator's entries itself; peersWait is the time in which they tell it
+	// the configuration.
+	registerWait = 1500 * time.Millisecond
+	peersWait    = 2500 * time.Millisecond
 	// dutyInterval is the time between looks at the ranking.
-	dutyInterval = 250 * time.Millisecond
+	dutyInterval = 100 * time.Millisecond
 	// failuresToYield is the number of failed calls in a row after which a
 	// daemon leaves the duty to others.
 	failuresToYield = 2
@@ -42,8 +47,20 @@
 	revision int64 // 0 if the state must be read anew
 }
 
+// peersFollow reports whether other daemons tell this one what the operator
+// writes. Before the peers are known nobody does.
+func (n *Node) peersFollow() bool {
+	if !n.registered.Load() {
+		return n.clock.Now().Sub(n.startedAt) < registerWait
+	}
+	return n.store.ok() && (n.config.Load() != nil || n.clock.Now().Sub(n.startedAt) < peersWait)
+}
+
 // isWatcher reports whether this daemon follows the operator for its peers.
 func (n *Node) isWatcher() bool {
+	if !n.registered.Load() {
+		return false
+	}
 	ranked := n.table.Rank(watcherDuty, func(m fleet.Member) bool { return !m.State.StoreFails })
 	return slices.Contains(ranked[:min(len(ranked), watchers)], n.settings.Name)
 }
@@ -60,7 +77,7 @@
 				f.revision = 0 // the next term reads what was missed
 			}
 		}
-		if !holds && f.node.store.ok() && f.node.config.Load() != nil {
+		if !holds && f.node.peersFollow() {
 			f.pause(ctx, dutyInterval)
 			continue
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -67,13 +67,15 @@
 	callers   *server
 	daemons   *server
 
-	budget    *proxy.RetryBudget
-	grace     atomic.Int64 // nanoseconds from a stop signal to the kill
-	leaving   atomic.Bool
-	refusing  atomic.Bool // new requests could not end before the stop
-	listeners map[string]net.Listener
-	running   sync.WaitGroup
-	failed    chan error
+	budget     *proxy.RetryBudget
+	grace      atomic.Int64 // nanoseconds from a stop signal to the kill
+	registered atomic.Bool  // the peers listed in the store were contacted
+	leaving    atomic.Bool
+	refusing   atomic.Bool // new requests could not end before the stop
+	startedAt  clock.Instant
+	listeners  map[string]net.Listener
+	running    sync.WaitGroup
+	failed     chan error
 }
 
 // StartError reports a part of the daemon that cannot start, or that ended.
@@ -105,6 +107,7 @@
 	if err != nil {
 		return nil, &StartError{"metrics", err}
 	}
+	n.startedAt = n.clock.Now()
 	n.grace.Store(int64(s.StopGrace.Duration()))
 	n.buildFleet()
 	n.buildMoves()
@@ -182,7 +185,7 @@
 		Budget: n.budget, Leaving: n.leaving.Load, Refusing: n.refusing.Load, Logger: n.logger, Metrics: instruments,
 	})
 	n.callers = newServer(ingress, n.logger)
-	n.daemons = newServer(proxy.Inbound{Target: n.gate}, n.logger)
+	n.daemons = newServer(proxy.Inbound{Names: n.platform.Headers, Target: n.gate}, n.logger)
 }
 
 // Run serves until ctx ends, then drains.
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -51,6 +51,7 @@
 	StopGrace        Milliseconds `json:"stopGraceMS"`   // from a stop signal to the kill
 	Retries          Retries      `json:"retries"`
 	MemoryLimitBytes int64        `json:"memoryLimitBytes"`
+	LinkMbps         float64      `json:"linkMbps"` // of the machine's own link, 0 if it is not known
 }
 
 // SettingsError reports a settings file that cannot be used.
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -121,9 +121,14 @@
 	if known := a.routes[call.Route]; known > 0 {
 		work = known
 	}
-	objective := float64(call.Objective)
-	wait := min(time.Duration(objective*waitShare), time.Duration(objective*objectiveShare)-work)
-	return min(max(wait, minWait), time.Until(call.Deadline)-work)
+	return min(patience(call.Objective, work), time.Until(call.Deadline)-work)
+}
+
+// patience is the time that a call may wait for a slot if its work takes the
+// given time.
+func patience(objective, work time.Duration) time.Duration {
+	wait := min(float64(objective)*waitShare, float64(objective)*objectiveShare-float64(work))
+	return max(time.Duration(wait), minWait)
 }
 
 // expectedWait is the time until a slot is free for a call behind n others.
@@ -188,7 +193,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return &Load{
-		Busy: a.busy, Queued: len(a.queue), Slots: a.slots, ServiceMS: float64(a.service) / float64(time.Millisecond),
-		Wait: a.expectedWait(len(a.queue)),
+		Busy: a.busy, Queued: len(a.queue), Slots: a.slots, Service: a.service, Wait: a.expectedWait(len(a.queue)),
 	}
 }
--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balancer.go
@@ -10,13 +10,21 @@
 )
 
 const (
-	// nearTime and farTime are the network time of a call to another daemon of
-	// the own and of another failure domain.
+	// nearTime and farTime are the network time assumed of a call to another
+	// daemon of the own and of another failure domain.
 	nearTime = 500 * time.Microsecond
 	farTime  = 2 * time.Millisecond
-	// farTimePerKB is the expected time that must be saved for each KB of an
-	// answer that crosses failure domains; such bytes are paid for.
+	// farTimePerKB is the expected time that must be saved for each KB that
+	// crosses failure domains; such bytes are paid for.
 	farTimePerKB = time.Millisecond
+	// headKB is the size of the heads of a call and its answer between daemons.
+	headKB = 1.5
+	// transferWeight is the number of transfers of the own size that an answer
+	// is assumed to share the target's link with.
+	transferWeight = 4
+	// overheadWeight is the weight of the newest call in the average time that
+	// calls to a target take beyond their wait and their run.
+	overheadWeight = 0.15
 	// loadMemory is the age from which a reported load says nothing any more:
 	// several times the duration of a request.
 	loadMemory = 2 * time.Second
@@ -24,6 +32,12 @@
 	crowding = 0.25
 	// coldFactor is the slowdown assumed of a target that has just started.
 	coldFactor = 2
+	// speedWeight is the weight of the newest answer in a target's slowness and
+	// in the average time of a route.
+	speedWeight = 0.1
+	// fullPenalty keeps calls from targets that would refuse them, as long as
+	// another one has room.
+	fullPenalty = 2 * time.Second
 	// failureWeight is the weight of the newest attempt in the failure rate.
 	failureWeight = 0.1
 	// maxFailureRate keeps the expected time finite.
@@ -49,6 +63,7 @@
 	Service   string
 	Version   string
 	Slots     int
+	LinkMbps  float64   // of the target's machine, 0 if it is not known
 	WarmAt    time.Time // end of the cold start
 	Available bool      // neither leaving nor down nor silent
 }
@@ -62,7 +77,9 @@
 type record struct {
 	inFlight    int
 	load        Load
-	sinceLoad   int // calls begun after the load was reported
+	sinceLoad   int           // calls begun after the load was reported
+	slowness    float64       // of its runs against the average of their routes, 0 if not known
+	overhead    time.Duration // beyond wait, run and transfer
 	failures    float64
 	failedInRow int
 	pausedTill  time.Time
@@ -74,15 +91,15 @@
 	logger *zap.Logger
 
 	mu       sync.Mutex
-	records  map[string]*record
-	services map[string]time.Duration // average time in the target, for new targets
-	sizes    map[string]float64       // average KB of an answer, by route
+	records map[string]*record
+	runs    map[string]time.Duration // average time in a target of usual speed, by route
+	sizes   map[string]float64       // average KB of an answer, by route
 }
 
 // NewBalancer returns a balancer that knows nothing.
 func NewBalancer(logger *zap.Logger) *Balancer {
 	return &Balancer{
-		logger: logger, records: make(map[string]*record), services: make(map[string]time.Duration), sizes: make(map[string]float64),
+		logger: logger, records: make(map[string]*record), runs: make(map[string]time.Duration), sizes: make(map[string]float64),
 	}
 }
 
@@ -138,46 +155,111 @@
 
 // expected returns the expected time to an answer in nanoseconds.
 func (b *Balancer) expected(e *Endpoint, r *record, call *Call, now time.Time) float64 {
-	service := time.Duration(r.load.ServiceMS * float64(time.Millisecond))
-	if service <= 0 {
-		if service = b.services[e.Service]; service <= 0 {
-			service = defaultService
-		}
-	}
+	run := float64(b.run(r, call.Route))
 	slots := float64(max(r.load.Slots, e.Slots, 1))
 	fresh := 1 - min(1, float64(now.Sub(r.load.At))/float64(loadMemory))
 	occupied := fresh*float64(r.load.Busy+r.load.Queued) + float64(r.sinceLoad)
 	occupied = max(occupied, float64(r.inFlight))
-	t := float64(service) * (1 + crowding*math.Pow(min(1, occupied/slots), 2))
+	t := run * (1 + crowding*math.Pow(min(1, occupied/slots), 2))
 	if now.Before(e.WarmAt) {
 		t *= coldFactor
 	}
 	if occupied >= slots {
-		t += float64(service) * (occupied - slots + 1) / slots
-	}
-	switch {
-	case e.Local:
-	case e.Near:
-		t += float64(nearTime)
-	default:
-		t += float64(farTime) + b.sizes[call.Route]*float64(farTimePerKB)
+		service := float64(r.load.Service)
+		if service == 0 {
+			service = run
+		}
+		wait := service * (occupied - slots + 1) / slots
+		t += wait
+		if wait > float64(patience(call.Objective, time.Duration(run))) {
+			t += float64(fullPenalty)
+		}
 	}
+	t += b.network(e, r, call)
 	failures := min(r.failures, maxFailureRate)
 	return t/(1-failures) + failures*float64(call.Objective)
 }
 
-// Done takes the result of an attempt.
-func (b *Balancer) Done(e *Endpoint, a *Answer, failed bool) {
+// run returns the expected time of a route's request in a target.
+func (b *Balancer) run(r *record, route string) time.Duration {
+	usual, ok := b.runs[route]
+	if !ok {
+		usual = defaultService
+	}
+	if r.slowness > 0 {
+		usual = time.Duration(float64(usual) * r.slowness)
+	}
+	return usual
+}
+
+// learnRun takes the time of a request in a target. Targets are compared on the
+// same route, since routes differ in their work.
+func (b *Balancer) learnRun(r *record, route string, ran time.Duration) {
+	usual, ok := b.runs[route]
+	if !ok {
+		b.runs[route] = ran
+		return
+	}
+	slowness := float64(ran) / float64(usual)
+	if r.slowness == 0 {
+		r.slowness = 1
+	}
+	b.runs[route] = usual + time.Duration(speedWeight*(float64(ran)/r.slowness-float64(usual)))
+	r.slowness += speedWeight * (slowness - r.slowness)
+}
+
+// network returns the time that a call to an endpoint takes besides the target's
+// own, and the price of its bytes as time.
+func (b *Balancer) network(e *Endpoint, r *record, call *Call) float64 {
+	if e.Local {
+		return 0
+	}
+	kb := b.sizes[call.Route] + headKB
+	t := float64(r.overhead) + transferWeight*float64(transfer(kb, e.LinkMbps))
+	if e.Near {
+		return t + float64(nearTime)
+	}
+	return t + float64(farTime) + kb*float64(farTimePerKB)
+}
+
+// transfer returns the time of an answer on a link.
+func transfer(kb, mbps float64) time.Duration {
+	if mbps <= 0 {
+		return 0
+	}
+	const bitsPerKB, bitsPerMbit = 8 << 10, 1e6
+	return time.Duration(kb * bitsPerKB / (mbps * bitsPerMbit) * float64(time.Second))
+}
+
+// learnOverhead takes what a call took beyond its wait and its run.
+func (r *record) learnOverhead(e *Endpoint, took time.Duration, a *Answer, kb float64) {
+	if e.Local || a.Outcome != Answered && a.Outcome != Refused {
+		return
+	}
+	beyond := max(0, took-a.Waited-a.Ran-transfer(kb, e.LinkMbps))
+	if a.Outcome == Refused {
+		beyond = took
+	}
+	r.overhead += time.Duration(overheadWeight * float64(beyond-r.overhead))
+}
+
+// Done takes the result of an attempt that took some time.
+func (b *Balancer) Done(e *Endpoint, call *Call, a *Answer, took time.Duration, failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	r := b.record(e.Target)
 	r.inFlight--
+	if took > 0 && (a.Outcome != Refused || a.Waited == 0 && a.Reason != ReasonQueueFull) {
+		r.learnOverhead(e, took, a, b.sizes[call.Route])
+	}
 	if a.Load != nil {
 		r.load = *a.Load
 		r.load.At = now
 		r.sinceLoad = 0
-		b.learn(e.Service, a.Load)
+	}
+	if a.Outcome == Answered && !failed {
+		b.learnRun(r, call.Route, a.Ran)
 	}
 	if a.Outcome == Refused && a.Reason != ReasonTargetDown {
 		return // says nothing of the target's health
@@ -200,14 +282,6 @@
 	}
 }
 
-func (b *Balancer) learn(service string, load *Load) {
-	measured := time.Duration(load.ServiceMS * float64(time.Millisecond))
-	if held := b.services[service]; held > 0 {
-		measured = held + time.Duration(failureWeight*float64(measured-held))
-	}
-	b.services[service] = measured
-}
-
 // LearnSize takes the size of an answer in bytes.
 func (b *Balancer) LearnSize(route string, bytes int64) {
 	b.mu.Lock()
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -62,8 +62,8 @@
 	Unknown   Outcome = "unknown"   // sent, and no valid answer came back
 )
 
-// NotRun reports whether the outcome proves that the request has not run.
-func (o Outcome) NotRun() bool { return o == Refused || o == Rejected || o == Unreached }
+// outcomes lists the outcomes that target sides name by their index.
+var outcomes = []Outcome{Answered, Refused, Rejected, Unknown}
 
 // Reasons why a target side refuses a call.
 const (
@@ -80,12 +80,12 @@
 
 // Load is what a target side says of itself with each answer.
 type Load struct {
-	Busy      int           `json:"b"` // slots in use
-	Queued    int           `json:"q"`
-	Slots     int           `json:"s"`
-	ServiceMS float64       `json:"t"` // average time of a request in the target
-	At        time.Time     `json:"-"`
-	Wait      time.Duration `json:"w,omitempty"` // expected time to a free slot
+	Busy    int // slots in use
+	Queued  int
+	Slots   int
+	Service time.Duration // average time of a request in the target
+	Wait    time.Duration // expected time to a free slot, on the target side only
+	At      time.Time     // when it was received
 }
 
 // Answer is the result of one attempt.
@@ -100,6 +100,7 @@
 	Length int64         // of the body, -1 if it is not known
 	Body   io.ReadCloser // set with Answered
 	Ran    time.Duration // time in the target up to the head of the answer
+	Waited time.Duration // time until a slot was free
 }
 
 // Close releases the body of an answer that is not delivered.
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// dialTimeout is the time that callers allow a new connection.
-	dialTimeout = time.Second
+	// dialTimeout leaves time for another target: connections open within
+	// milliseconds, or their first packet is sent again only after a second.
+	dialTimeout = 300 * time.Millisecond
 	// silenceTimeout ends a connection whose peer acknowledges nothing.
 	silenceTimeout = time.Second
 	// connBuffer is the size of each connection's read and write buffer.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -221,6 +221,7 @@
 		return answer
 	}
 	answer := g.run(ctx, call, target, slots, conns)
+	answer.Waited = waited
 	g.log(call, answer, waited)
 	return answer
 }
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
+	"encoding/base64"
+	"errors"
 	"io"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"nutmegstand.example/nutmegstand/pkg/pb"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -23,67 +28,98 @@
 // deadlineGrace lets the caller side, which knows the exact deadline, end a call.
 const deadlineGrace = 200 * time.Millisecond
 
-// hopCall is what a caller side tells a target side of a call.
-type hopCall struct {
-	ID            string       `json:"id"`
-	Route         string       `json:"r"`
-	Service       string       `json:"s"`
-	Target        string       `json:"t"`
-	Version       string       `json:"v"`
-	Kind          routing.Kind `json:"k"`
-	Priority      int          `json:"p"`
-	ObjectiveMS   int64        `json:"o"`
-	CallerService string       `json:"c"`
-	ConfigVersion uint64       `json:"cv"`
-	Attempt       int          `json:"a"`
-	Repeat        bool         `json:"rp,omitempty"`
-	LeftUS        int64        `json:"l"` // time left in microseconds
-}
-
-// hopOutcome is what a target side tells of an attempt.
-type hopOutcome struct {
-	Outcome      Outcome `json:"o"`
-	Reason       string  `json:"r,omitempty"`
-	RetryAfterMS int64   `json:"ra,omitempty"`
-	RanUS        int64   `json:"ran,omitempty"`
-	Load         *Load   `json:"l,omitempty"`
+// encodeHeader returns a message as the value of a header.
+func encodeHeader(m proto.Message) string {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		panic("proxy: header cannot be encoded: " + err.Error()) // its strings came as headers or JSON
+	}
+	return base64.RawStdEncoding.EncodeToString(data)
 }
 
-func encodeHeader(v any) string {
-	data, err := json.Marshal(v)
+func decodeHeader(value string, m proto.Message) error {
+	data, err := base64.RawStdEncoding.DecodeString(value)
 	if err != nil {
-		panic("proxy: header cannot be encoded: " + err.Error()) // plain values only
+		return err
 	}
-	return string(data)
+	return proto.Unmarshal(data, m)
 }
 
 func (c *Call) hop() string {
-	return encodeHeader(hopCall{
-		ID: c.ID, Route: c.Route, Service: c.Service, Target: c.Target, Version: c.Version, Kind: c.Kind,
-		Priority: c.Priority, ObjectiveMS: c.Objective.Milliseconds(), CallerService: c.CallerService,
-		ConfigVersion: c.ConfigVersion, Attempt: c.Attempt, Repeat: c.Repeat, LeftUS: time.Until(c.Deadline).Microseconds(),
+	return encodeHeader(&pb.AttemptHead{
+		Target: c.Target, Route: c.Route, Service: c.Service, Kind: uint32(slices.Index(routing.Kinds, c.Kind)),
+		Priority: int32(c.Priority), ObjectiveMs: c.Objective.Milliseconds(), CallerService: c.CallerService,
+		ConfigVersion: c.ConfigVersion, Attempt: int32(c.Attempt), Repeat: c.Repeat, LeftUs: time.Until(c.Deadline).Microseconds(),
 	})
 }
 
+// HopError reports a call whose head another daemon did not write.
+type HopError struct{ Cause error }
+
+func (e *HopError) Error() string { return "proxy: head of a call: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *HopError) Unwrap() error { return e.Cause }
+
+var errUnknownKind = errors.New("the kind of the route is not known")
+
 // callFromHop rebuilds the call that another daemon sent.
-func callFromHop(r *http.Request) (*Call, error) {
-	var h hopCall
-	if err := json.Unmarshal([]byte(r.Header.Get(callHeader)), &h); err != nil {
-		return nil, err
+func callFromHop(r *http.Request, names HeaderNames) (*Call, error) {
+	h := &pb.AttemptHead{}
+	if err := decodeHeader(r.Header.Get(callHeader), h); err != nil {
+		return nil, &HopError{err}
+	}
+	if int(h.GetKind()) >= len(routing.Kinds) {
+		return nil, &HopError{errUnknownKind}
 	}
 	now := time.Now()
 	r.Header.Del(callHeader)
-	call := &Call{
-		ID: h.ID, Route: h.Route, Service: h.Service, Target: h.Target, Version: h.Version, Kind: h.Kind,
-		Priority: h.Priority, Objective: time.Duration(h.ObjectiveMS) * time.Millisecond,
-		CallerService: h.CallerService, ConfigVersion: h.ConfigVersion, Attempt: h.Attempt, Repeat: h.Repeat,
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
-		Received: now, Deadline: now.Add(time.Duration(h.LeftUS) * time.Microsecond),
-	}
-	call.Body = requestBody(r)
-	return call, nil
+	return &Call{
+		ID: r.Header.Get(names.RequestID), Route: h.GetRoute(), Service: h.GetService(), Target: h.GetTarget(),
+		Kind: routing.Kinds[h.GetKind()], Priority: int(h.GetPriority()),
+		Objective:     time.Duration(h.GetObjectiveMs()) * time.Millisecond,
+		CallerService: h.GetCallerService(), ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Repeat: h.GetRepeat(),
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: requestBody(r),
+		Received: now, Deadline: now.Add(time.Duration(h.GetLeftUs()) * time.Microsecond),
+	}, nil
 }
 
+// hop encodes the outcome of an attempt.
+func (a *Answer) hop() string {
+	m := &pb.AttemptOutcome{
+		Outcome: uint32(slices.Index(outcomes, a.Outcome)), Reason: a.Reason, RetryAfterMs: a.RetryAfter.Milliseconds(),
+		RanUs: a.Ran.Microseconds(), WaitedUs: a.Waited.Microseconds(),
+	}
+	if l := a.Load; l != nil {
+		m.Load = &pb.TargetLoad{Busy: int32(l.Busy), Queued: int32(l.Queued), Slots: int32(l.Slots), ServiceUs: l.Service.Microseconds()}
+	}
+	return encodeHeader(m)
+}
+
+// answerFromHop decodes the outcome that a target side sent.
+func answerFromHop(r *http.Response) (*Answer, error) {
+	m := &pb.AttemptOutcome{}
+	if err := decodeHeader(r.Header.Get(outcomeHeader), m); err != nil {
+		return nil, &HopError{err}
+	}
+	if int(m.GetOutcome()) >= len(outcomes) || r.Header.Get(outcomeHeader) == "" {
+		return nil, &HopError{errUnknownOutcome}
+	}
+	a := &Answer{
+		Outcome: outcomes[m.GetOutcome()], Reason: m.GetReason(), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		Status: r.StatusCode, Ran: time.Duration(m.GetRanUs()) * time.Microsecond, Waited: time.Duration(m.GetWaitedUs()) * time.Microsecond,
+	}
+	if l := m.GetLoad(); l != nil {
+		a.Load = &Load{
+			Busy: int(l.GetBusy()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
+			Service: time.Duration(l.GetServiceUs()) * time.Microsecond, At: time.Now(),
+		}
+	}
+	return a, nil
+}
+
+var errUnknownOutcome = errors.New("the outcome is not known")
+
 // requestBody returns the body of a server's request, nil if it has none.
 func requestBody(r *http.Request) *Body {
 	if r.ContentLength == 0 {
@@ -158,19 +194,12 @@
 func hopAnswer(x *exchange, conns *pool) *Answer {
 	r := x.response
 	body := &answerBody{exchange: x, pool: conns, done: func(bool) {}}
-	var h hopOutcome
-	if err := json.Unmarshal([]byte(r.Header.Get(outcomeHeader)), &h); err != nil {
+	answer, err := answerFromHop(r)
+	if err != nil {
 		_ = body.Close()
-		return &Answer{Outcome: Unknown, Reason: "answer of the daemon without an outcome"}
-	}
-	if h.Load != nil {
-		h.Load.At = time.Now()
-	}
-	answer := &Answer{
-		Outcome: h.Outcome, Reason: h.Reason, RetryAfter: time.Duration(h.RetryAfterMS) * time.Millisecond,
-		Load: h.Load, Status: r.StatusCode, Ran: time.Duration(h.RanUS) * time.Microsecond,
+		return &Answer{Outcome: Unknown, Reason: err.Error()}
 	}
-	if h.Outcome != Answered {
+	if answer.Outcome != Answered {
 		_, _ = io.Copy(io.Discard, body) // the outcome stands in the head
 		_ = body.Close()
 		return answer
@@ -182,11 +211,14 @@
 }
 
 // Inbound serves the calls of other daemons by a target side.
-type Inbound struct{ Target TargetSide }
+type Inbound struct {
+	Names  HeaderNames
+	Target TargetSide
+}
 
 // ServeHTTP implements http.Handler.
 func (s Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	call, err := callFromHop(r)
+	call, err := callFromHop(r, s.Names)
 	if err != nil {
 		http.Error(w, "not a call of a daemon", http.StatusBadRequest)
 		return
@@ -201,12 +233,7 @@
 	defer cancel()
 	answer := s.Target.Do(ctx, call)
 	defer answer.Close()
-	outcome := hopOutcome{
-		Outcome: answer.Outcome, Reason: answer.Reason, RetryAfterMS: answer.RetryAfter.Milliseconds(),
-		RanUS: answer.Ran.Microseconds(), Load: answer.Load,
-	}
-	header := w.Header()
-	header.Set(outcomeHeader, encodeHeader(outcome))
+	w.Header().Set(outcomeHeader, answer.hop())
 	if answer.Outcome != Answered {
 		writeEmpty(w, http.StatusServiceUnavailable)
 		return
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -18,7 +18,7 @@
 const (
 	// maxRefusals is the number of target sides that may refuse a request before
 	// the caller is told to come back; more would hold it for long.
-	maxRefusals = 4
+	maxRefusals = 6
 	// holdLimit is the size up to which an answer is read whole before it is
 	// delivered, so that a broken one can be replaced.
 	holdLimit = 256 << 10
@@ -198,7 +198,7 @@
 		}
 		if f.arrivals > 0 && !i.Budget.Spend(f.call.Service) {
 			f.note("no retry budget")
-			i.Balancer.Done(e, &Answer{Outcome: Refused}, false)
+			i.Balancer.Done(e, f.call, &Answer{Outcome: Refused}, 0, false)
 			break
 		}
 		answer := f.send(ctx, e)
@@ -261,7 +261,7 @@
 		answer.Reason = ReasonGone
 	}
 	bad := answer.Outcome == Unknown || answer.Outcome == Rejected || answer.Status >= http.StatusInternalServerError
-	i.Balancer.Done(e, answer, bad || answer.Outcome == Unreached || answer.Reason == ReasonTargetDown)
+	i.Balancer.Done(e, f.call, answer, time.Since(began), bad || answer.Outcome == Unreached || answer.Reason == ReasonTargetDown)
 	i.Metrics.attempt(e.Service, answer.Outcome)
 	if !left && (answer.Outcome == Answered || answer.Outcome == Unknown) {
 		i.Evidence.Attempt(e.Service, e.Version, f.call.Route, bad, time.Since(began))
@@ -342,7 +342,7 @@
 func (f *flight) timeLeft(answer *Answer) bool {
 	needed := minTimeLeft
 	if answer.Load != nil {
-		needed = max(needed, time.Duration(answer.Load.ServiceMS*retryTimeShare*float64(time.Millisecond)))
+		needed = max(needed, time.Duration(retryTimeShare*float64(answer.Load.Service)))
 	}
 	return time.Until(f.call.Deadline) > needed
 }
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -78,7 +78,7 @@
 		})
 		id := string(rune('a' + i))
 		s.gate.SetTarget(proxy.LocalTarget{ID: id, Service: testService, Version: "v1", Address: s.target.Address, Slots: 2})
-		s.server = httptest.NewServer(proxy.Inbound{Target: s.gate})
+		s.server = httptest.NewServer(proxy.Inbound{Names: proxytest.Names, Target: s.gate})
 		t.Cleanup(s.server.Close)
 		m.sides = append(m.sides, s)
 		m.entries = append(m.entries, &proxy.Endpoint{
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -15,6 +15,9 @@
 	Download      Kind = "download" // idempotent, with large answers
 )
 
+// Kinds lists all kinds; daemons name them to one another by their index.
+var Kinds = []Kind{Idempotent, NonIdempotent, Download}
+
 // Repeatable reports whether a request may run more than once.
 func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
 
