Count a daemon as registered once its live peers have answered

Cause: after a loss of all daemons each waited 0.7 s for entries of machines that are gone; with the store away a restarted daemon was found after half a second or more. Two tests took the same port. Change: 80 ms for the contact; each round of exchanges contacts an absent member; entries of daemons silent for 30 s are removed; tests take ports in turn.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -128,34 +128,31 @@
 	}
 }
 
-// exchange compares the table with that of random peers: live ones, and one
-// that may be silent, so that a daemon that restarted is found again.
+// exchange compares the table with that of random live peers, and with one that
+// is silent or left, so that a daemon that restarted is found again.
 func (f *Fleet) exchange(ctx context.Context) {
-	var others []Member
-	for _, m := range f.Table.Members() {
-		if !m.Self {
-			others = append(others, m)
-		}
-	}
-	if len(others) == 0 {
-		return
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	now := f.Table.clock.Now()
-	chosen := others[:1:1]
-	for _, m := range others[1:] {
-		if len(chosen) > exchangePeers {
-			break
-		}
-		if now.Sub(m.HeardAt) <= silentAfter && !m.State.Leaving {
-			chosen = append(chosen, m)
+	var live, absent []Member
+	for _, m := range f.Table.Members() {
+		switch {
+		case m.Self:
+		case now.Sub(m.HeardAt) <= silentAfter && !m.State.Leaving:
+			live = append(live, m)
+		default:
+			absent = append(absent, m)
 		}
 	}
-	for _, m := range chosen {
+	for _, m := range append(choose(live, exchangePeers), choose(absent, 1)...) {
 		f.submit(func() { f.Exchange(ctx, m.Name, m.State.SyncAddress) })
 	}
 }
 
+// choose returns up to n random members.
+func choose(members []Member, n int) []Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(n, len(members))]
+}
+
 // Exchange compares the table with that of the daemon at an address. The name
 // is empty if it is not known yet.
 func (f *Fleet) Exchange(ctx context.Context, name, address string) bool {
--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -18,6 +17,11 @@
 	daemonPrefix = "nutmegstand-daemons/"
 	// storeCallTimeout bounds one call, so that a silent store is noticed.
 	storeCallTimeout = time.Second
+	// contactWait is the time in which live peers answer, also from other regions.
+	contactWait = 80 * time.Millisecond
+	// entryMaxAge is the age of a silent daemon whose entry is removed: longer
+	// than any partition or pause that it is expected to come back from.
+	entryMaxAge = 30 * time.Second
 	// firstRetry and lastRetry bound the time between attempts at the store.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 3 * time.Second
@@ -76,33 +80,61 @@
 	return n.contact(ctx, objects), nil
 }
 
-// contact exchanges with the listed daemons. It returns the number that answered.
+// contact exchanges with the listed daemons. It returns the number that answered
+// within contactWait; entries of daemons that are gone answer never.
 func (n *Node) contact(ctx context.Context, objects []store.Object) int {
-	var answered sync.Map
-	var all sync.WaitGroup
+	answered := make(chan bool, len(objects))
+	contacted := 0
 	for _, o := range objects {
 		var entry daemonEntry
 		name := o.Key[len(daemonPrefix):]
 		if json.Unmarshal(o.Value, &entry) != nil || name == n.settings.Name {
 			continue // an entry of another writer, or the own one
 		}
-		all.Add(1)
-		task := func() {
-			defer all.Done()
-			if n.fleet.Exchange(ctx, name, entry.Address) {
-				answered.Store(name, true)
-			}
-		}
-		if err := n.tasks.Submit(task); err != nil {
-			all.Done()
+		task := func() { answered <- n.fleet.Exchange(context.WithoutCancel(ctx), name, entry.Address) }
+		if n.tasks.Submit(task) == nil {
+			contacted++
 		}
 	}
-	all.Wait()
+	timeout := time.After(contactWait)
 	count := 0
-	answered.Range(func(any, any) bool { count++; return true })
+	for range contacted {
+		select {
+		case ok := <-answered:
+			if ok {
+				count++
+			}
+		case <-timeout:
+			return count
+		}
+	}
 	return count
 }
 
+// collectEntries removes the entries of daemons that have been silent for long.
+// The first of the operator's followers does it for all.
+func (n *Node) collectEntries(ctx context.Context) {
+	ranked := n.watchers()
+	if len(ranked) == 0 || ranked[0] != n.settings.Name {
+		return
+	}
+	for _, m := range n.table.Members() {
+		age := n.clock.Now().Sub(m.HeardAt)
+		if m.Self || m.State.Leaving || age < entryMaxAge || n.collected[m.Name] == m.Incarnation {
+			continue
+		}
+		n.collected[m.Name] = m.Incarnation
+		call, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		err := n.platform.Store.Delete(call, daemonPrefix+m.Name, 0)
+		cancel()
+		if err != nil && !store.IsNotFound(err) {
+			eventRegisterFailed.Log(n.logger, zap.String("access", "collect"), zap.String("member", m.Name), zap.Error(err))
+			continue
+		}
+		eventEntryRemoved.Log(n.logger, zap.String("member", m.Name), zap.Duration("age", age))
+	}
+}
+
 // unregister removes the daemon's entry at a planned end.
 func (n *Node) unregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -19,9 +19,9 @@
 const (
 	// watcherDuty names the followers of the operator in the ranking of members.
 	watcherDuty = "operator"
-	// watchers is the number of daemons that follow the operator. Three daemons
+	// watcherCount is the number of daemons that follow the operator. Three daemons
 	// outlast the loss of two of them at the same moment.
-	watchers = 3
+	watcherCount = 3
 	// watchWait is the wait of one watch call. A path to the store that went
 	// silent shows after it; the other watchers carry on meanwhile.
 	watchWait = 3 * time.Second
@@ -61,8 +61,13 @@
 	if !n.registered.Load() {
 		return false
 	}
+	return slices.Contains(n.watchers(), n.settings.Name)
+}
+
+// watchers returns the daemons that follow the operator, best first.
+func (n *Node) watchers() []string {
 	ranked := n.table.Rank(watcherDuty, func(m fleet.Member) bool { return !m.State.StoreFails })
-	return slices.Contains(ranked[:min(len(ranked), watchers)], n.settings.Name)
+	return ranked[:min(len(ranked), watcherCount)]
 }
 
 // run reads once at the start, and watches while the daemon holds the duty.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -73,6 +73,7 @@
 	leaving    atomic.Bool
 	refusing   atomic.Bool // new requests could not end before the stop
 	startedAt  clock.Instant
+	collected  map[string]uint64 // incarnations whose entries were removed
 	listeners  map[string]net.Listener
 	running    sync.WaitGroup
 	failed     chan error
@@ -107,7 +108,7 @@
 	if err != nil {
 		return nil, &StartError{"metrics", err}
 	}
-	n.startedAt = n.clock.Now()
+	n.startedAt, n.collected = n.clock.Now(), make(map[string]uint64)
 	n.grace.Store(int64(s.StopGrace.Duration()))
 	n.buildFleet()
 	n.buildMoves()
@@ -277,6 +278,7 @@
 			n.gate.Sweep()
 			n.peers.Sweep()
 			n.balancer.Sweep()
+			n.collectEntries(ctx)
 		}
 	}
 }
--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balancer.go
@@ -90,7 +90,7 @@
 type Balancer struct {
 	logger *zap.Logger
 
-	mu       sync.Mutex
+	mu      sync.Mutex
 	records map[string]*record
 	runs    map[string]time.Duration // average time in a target of usual speed, by route
 	sizes   map[string]float64       // average KB of an answer, by route
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,12 +103,26 @@
 	d.store.Put("config", "main", map[string]any{"version": version, "resources": resources})
 }
 
+// nextPort runs through ports below those that the kernel gives to clients, so
+// that no connection of another test takes one before its daemon listens.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 20000
+	lastPort  = 29999
+)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		port := firstPort + int(nextPort.Add(1))
+		assert.Assert(t, port <= lastPort, "no free port")
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, listener.Close())
+			return address
+		}
+	}
 }
 
 func (d *deployment) machine(i int) *machine {
