Put calls of running requests first, and use the target of a stopping daemon longer

Cause: look-ups of running requests were refused after 40 ms (a fifth of their objective) and their runs wasted; each planned restart took a target away for 3 s and more although it runs on. Change: such calls come first and wait up to half of their time; a stopping daemon hands its duties on at once and its target 0.7 s before it closes (2.4 s).

--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -30,7 +30,8 @@
 	CallAddress   string  `json:"callAddress"` // takes calls for the target
 	SyncAddress   string  `json:"syncAddress"` // serves the Fleet service
 	LinkMbps      float64 `json:"linkMbps,omitempty"`
-	Leaving       bool    `json:"leaving,omitempty"`
+	Stopping      bool    `json:"stopping,omitempty"` // holds no duty any more
+	Leaving       bool    `json:"leaving,omitempty"`  // takes no call any more
 	ConfigVersion uint64  `json:"configVersion,omitempty"`
 	StoreFails    bool    `json:"storeFails,omitempty"` // its calls to the store fail
 	Target        *Target `json:"target,omitempty"`
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -122,7 +122,7 @@
 func (t *Table) Rank(duty string, usable func(Member) bool) []string {
 	var ranked []string
 	for _, m := range t.Live() {
-		if usable == nil || usable(m) {
+		if !m.State.Stopping && (usable == nil || usable(m)) {
 			ranked = append(ranked, m.Name)
 		}
 	}
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -11,8 +11,11 @@
 
 const (
 	// minDrain is the time in which callers learn that the daemon is not ready:
-	// two missed questions, a second apart, and a request after that.
-	minDrain = 3 * time.Second
+	// two missed questions, a second apart, and the way of a request after that.
+	minDrain = 2400 * time.Millisecond
+	// lastCalls is left to the calls of other daemons that are under way when the
+	// daemon stops to take new ones. Until then the target is of use.
+	lastCalls = 700 * time.Millisecond
 	// stopMargin is left between the last request and the kill.
 	stopMargin = 250 * time.Millisecond
 	// drainPoll is the time between looks at the requests under way.
@@ -30,7 +33,9 @@
 	n.leaving.Store(true)
 	refusing := time.AfterFunc(minDrain, func() { n.refusing.Store(true) })
 	defer refusing.Stop()
-	n.fleet.Update(func(s *fleet.State) { s.Leaving = true })
+	n.fleet.Update(func(s *fleet.State) { s.Stopping = true })
+	closing := time.AfterFunc(minDrain-lastCalls, func() { n.fleet.Update(func(s *fleet.State) { s.Leaving = true }) })
+	defer closing.Stop()
 	go n.unregister()
 	end := started.Add(time.Duration(n.grace.Load()) - stopMargin - closeTimeout)
 	for time.Now().Before(end) {
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -15,6 +15,9 @@
 	// objectiveShare is the part of the latency objective that the wait and the
 	// work together should take; the rest is left for the network and chance.
 	objectiveShare = 0.9
+	// innerShare is the part of the time left that a call of a running request may
+	// wait: its refusal would waste the run.
+	innerShare = 0.5
 	// minWait lets a request wait out a slot that is about to become free, even
 	// with a short objective.
 	minWait = 20 * time.Millisecond
@@ -29,15 +32,20 @@
 
 // waiter is a call in the queue of a target.
 type waiter struct {
+	inner    bool
 	priority int
 	due      time.Time // deadline of the call
 	until    time.Time // end of its patience
 	ready    chan string
 }
 
-// before orders waiting calls: by priority, then by deadline, so that a request
-// that was refused before comes first.
+// before orders waiting calls: those of running requests, whose refusal would
+// waste the run, then by priority, then by deadline, so that a request that was
+// refused before comes first.
 func (w *waiter) before(o *waiter) bool {
+	if w.inner != o.inner {
+		return w.inner
+	}
 	if w.priority != o.priority {
 		return w.priority < o.priority
 	}
@@ -76,7 +84,7 @@
 		return ""
 	}
 	patience := a.patience(call)
-	w := &waiter{priority: call.Priority, due: call.Deadline, until: time.Now().Add(patience), ready: make(chan string, 1)}
+	w := &waiter{inner: call.Inner, priority: call.Priority, due: call.Deadline, until: time.Now().Add(patience), ready: make(chan string, 1)}
 	at := slices.IndexFunc(a.queue, w.before)
 	if at < 0 {
 		at = len(a.queue)
@@ -121,7 +129,11 @@
 	if known := a.routes[call.Route]; known > 0 {
 		work = known
 	}
-	return min(patience(call.Objective, work), time.Until(call.Deadline)-work)
+	left := time.Until(call.Deadline)
+	if call.Inner {
+		return min(time.Duration(innerShare*float64(left)), left-work)
+	}
+	return min(patience(call.Objective, work), left-work)
 }
 
 // patience is the time that a call may wait for a slot if its work takes the
--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balancer.go
@@ -171,7 +171,7 @@
 		}
 		wait := service * (occupied - slots + 1) / slots
 		t += wait
-		if wait > float64(patience(call.Objective, time.Duration(run))) {
+		if !call.Inner && wait > float64(patience(call.Objective, time.Duration(run))) {
 			t += float64(fullPenalty)
 		}
 	}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -39,6 +39,7 @@
 	Version string // version of the chosen target
 	Attempt int    // 1 for the first target side
 	Repeat  bool   // an earlier attempt may have reached a target
+	Inner   bool   // a call of a request that runs at the own target
 
 	Method string
 	URI    string // path and query as sent
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -425,21 +425,22 @@
 // of the request that it runs and a part of the call's own.
 const callSeparator = "."
 
-// FromRepeat reports whether a request is a call of a run that was itself a
-// repeat. IDs of another form are taken for requests of clients.
-func (g *Gate) FromRepeat(id string) bool {
+// Parent reports whether a request is a call of a request that runs at the
+// target, and whether that run is a repeat. IDs of another form are taken for
+// requests of clients.
+func (g *Gate) Parent(id string) (inner, repeat bool) {
 	at := strings.LastIndex(id, callSeparator)
 	if at < 0 {
-		return false
+		return false, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for call := range g.inFlight {
 		if call.ID == id[:at] {
-			return call.Repeat
+			return true, call.Repeat
 		}
 	}
-	return false
+	return false, false
 }
 
 // BusyAt returns the number of requests at the target if it serves a service in
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -49,7 +49,7 @@
 	return encodeHeader(&pb.AttemptHead{
 		Target: c.Target, Route: c.Route, Service: c.Service, Kind: uint32(slices.Index(routing.Kinds, c.Kind)),
 		Priority: int32(c.Priority), ObjectiveMs: c.Objective.Milliseconds(), CallerService: c.CallerService,
-		ConfigVersion: c.ConfigVersion, Attempt: int32(c.Attempt), Repeat: c.Repeat, LeftUs: time.Until(c.Deadline).Microseconds(),
+		ConfigVersion: c.ConfigVersion, Attempt: int32(c.Attempt), Repeat: c.Repeat, Inner: c.Inner, LeftUs: time.Until(c.Deadline).Microseconds(),
 	})
 }
 
@@ -78,7 +78,7 @@
 		ID: r.Header.Get(names.RequestID), Route: h.GetRoute(), Service: h.GetService(), Target: h.GetTarget(),
 		Kind: routing.Kinds[h.GetKind()], Priority: int(h.GetPriority()),
 		Objective:     time.Duration(h.GetObjectiveMs()) * time.Millisecond,
-		CallerService: h.GetCallerService(), ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Repeat: h.GetRepeat(),
+		CallerService: h.GetCallerService(), ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Repeat: h.GetRepeat(), Inner: h.GetInner(),
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: requestBody(r),
 		Received: now, Deadline: now.Add(time.Duration(h.GetLeftUs()) * time.Microsecond),
 	}, nil
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -157,7 +157,9 @@
 		}
 	}
 	i.Budget.Request(f.call.Service)
-	if i.Gate.FromRepeat(f.call.ID) {
+	inner, repeat := i.Gate.Parent(f.call.ID)
+	f.call.Inner = inner
+	if repeat {
 		f.note("call of a repeated run")
 		i.Budget.Repeated(f.call.Service)
 	}
