--- a/cmd/nutmegstandd/main.go
+++ b/cmd/nutmegstandd/main.go
@@ -44,6 +44,7 @@
 type program struct {
 	file        string
 	memoryLimit int64
+	gcPercent   int // 0 for the runtime's own
 	level       zapcore.Level
 	build       func(*zap.Logger) (runner, error)
 }
@@ -76,6 +77,9 @@
 	if p.memoryLimit > 0 {
 		debug.SetMemoryLimit(p.memoryLimit)
 	}
+	if p.gcPercent > 0 {
+		debug.SetGCPercent(p.gcPercent)
+	}
 	hlog.SetLevel(hlog.LevelFatal) // the daemon logs its own events
 	logger, flush := telemetry.NewLogger(os.Stdout, p.level)
 	defer flush()
@@ -150,7 +154,7 @@
 		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
 	}
 	return &program{
-		file: file, memoryLimit: s.MemoryLimitBytes, level: zapcore.InfoLevel,
+		file: file, memoryLimit: s.MemoryLimitBytes, gcPercent: s.GCPercent, level: zapcore.InfoLevel,
 		build: func(l *zap.Logger) (runner, error) { return node.New(s, p, l) },
 	}, nil
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -51,7 +51,8 @@
 	StopGrace        Milliseconds `json:"stopGraceMS"`   // from a stop signal to the kill
 	Retries          Retries      `json:"retries"`
 	MemoryLimitBytes int64        `json:"memoryLimitBytes"`
-	LinkMbps         float64      `json:"linkMbps"` // of the machine's own link, 0 if it is not known
+	GCPercent        int          `json:"gcPercent"` // heap growth between collections, 0 for the runtime's own
+	LinkMbps         float64      `json:"linkMbps"`  // of the machine's own link, 0 if it is not known
 }
 
 // SettingsError reports a settings file that cannot be used.
@@ -117,6 +118,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
 		add("retries", s.Retries, "0 or more")
 	}
+	if s.GCPercent < 0 {
+		add("gcPercent", s.GCPercent, "0 for the runtime's own, or a percentage")
+	}
 	if s.MemoryLimitBytes < 0 {
 		add("memoryLimitBytes", s.MemoryLimitBytes, "0 for no limit, or a number of bytes")
 	}
--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balancer.go
@@ -16,7 +16,7 @@
 	farTime  = 2 * time.Millisecond
 	// farTimePerKB is the expected time that must be saved for each KB that
 	// crosses failure domains; such bytes are paid for.
-	farTimePerKB = time.Millisecond
+	farTimePerKB = 3 * time.Millisecond
 	// headKB is the size of the heads of a call and its answer between daemons.
 	headKB = 1.5
 	// transferWeight is the number of transfers of the own size that an answer
