--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -78,7 +78,8 @@
 	route   *routing.Route
 	table   *routing.Table
 
-	tried    map[string]bool
+	tried    map[string]bool // targets whose side was asked
+	reached  map[string]bool // targets that may have got the request
 	trail    []string
 	arrivals int // attempts that may have reached a target
 	refusals int
@@ -129,7 +130,7 @@
 		ID: r.Header.Get(i.Names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
 		Body: requestBody(r), CallerService: i.Service, Received: received,
 	}
-	f := &flight{ingress: i, call: call, tried: make(map[string]bool)}
+	f := &flight{ingress: i, call: call, tried: make(map[string]bool), reached: make(map[string]bool)}
 	f.use(table, route)
 	return f
 }
@@ -221,13 +222,12 @@
 	until := f.call.Received.Add(time.Duration(float64(f.call.Objective) * searchShare))
 	for {
 		endpoints := i.Versions.Choose(f.call.Service, i.Directory.Endpoints(f.call.Service))
-		left := make([]*Endpoint, 0, len(endpoints))
-		for _, e := range endpoints {
-			if !f.tried[e.Target] {
-				left = append(left, e)
-			}
+		e := i.Balancer.Choose(f.call, without(endpoints, f.tried))
+		if e == nil && f.arrivals > 0 && f.refusals > 0 {
+			// Targets that were full before the last attempt may have room now.
+			e = i.Balancer.Choose(f.call, without(endpoints, f.reached))
 		}
-		if e := i.Balancer.Choose(f.call, left); e != nil {
+		if e != nil {
 			f.call.Target, f.call.Version = e.Target, e.Version
 			f.tried[e.Target] = true
 			return e
@@ -244,6 +244,17 @@
 	}
 }
 
+// without returns the endpoints whose target is not in a set.
+func without(endpoints []*Endpoint, targets map[string]bool) []*Endpoint {
+	left := make([]*Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		if !targets[e.Target] {
+			left = append(left, e)
+		}
+	}
+	return left
+}
+
 func (f *flight) send(ctx context.Context, e *Endpoint) *Answer {
 	i := f.ingress
 	f.call.Attempt++
@@ -338,6 +349,7 @@
 		}
 	}
 	f.arrivals++
+	f.reached[f.call.Target] = true
 	return f.arrivals < max(1, f.route.Attempts) && f.call.Body.Replayable() && f.timeLeft(answer)
 }
 
