--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,12 @@
 	go run ./test/runtests
 
 lint:
-	@files="$$(go tool gofumpt -l cmd pkg test)"; if [ -n "$$files" ]; then echo "not formatted:"; echo "$$files"; exit 1; fi
+	@files="$$(go tool gofumpt -l cmd pkg platform test)"; if [ -n "$$files" ]; then echo "not formatted:"; echo "$$files"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
 
 fmt:
-	go tool gofumpt -w cmd pkg test
+	go tool gofumpt -w cmd pkg platform test
 
 measure:
 	@go run ./test/measure
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -4,16 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
@@ -69,20 +66,10 @@
 
 // DialTCP is the DialFunc of real daemons.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: limitSilence}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: LimitSilence(silenceTimeout)}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// limitSilence lets the kernel end a connection whose peer acknowledges
-// nothing: a partition drops packets without a reset.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -13,10 +13,9 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"nutmegstand.example/nutmegstand/pkg/link"
 )
 
 const (
@@ -46,10 +45,7 @@
 // Unwrap returns the cause.
 func (e *ConnError) Unwrap() error { return e.Cause }
 
-var (
-	errStrayBytes  = errors.New("bytes that belong to no request")
-	errOtherAnswer = errors.New("answer to another request")
-)
+var errOtherAnswer = errors.New("answer to another request")
 
 // conn is one HTTP/1.1 connection to a target or another daemon. It carries one
 // exchange at a time.
@@ -63,7 +59,7 @@
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: limitSilence}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: link.LimitSilence(silenceTimeout)}
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &ConnError{Phase: "dial", Cause: err}
@@ -71,38 +67,8 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, connBuffer), writer: bufio.NewWriterSize(c, connBuffer)}, nil
 }
 
-// limitSilence sets the time after which the kernel ends a connection on which
-// sent bytes stay unacknowledged.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
-// quiet reports whether an idle connection can be used: the other side has not
-// closed it, and no bytes have arrived that belong to no request.
-func (c *conn) quiet() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return c.reader.Buffered() == 0
-	}
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	socket, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	nothing := false
-	err = socket.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		nothing = errors.Is(recvErr, unix.EAGAIN)
-	})
-	return err == nil && nothing
-}
+// quiet reports whether an idle connection can be used.
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && link.Quiet(c.Conn) }
 
 // outgoing is a request as it is written to a connection.
 type outgoing struct {
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -13,8 +13,6 @@
 	idleShare = 0.7
 	// defaultIdle is used where the other side states no idle time.
 	defaultIdle = 4 * time.Second
-	// sweepInterval is the time between closing idle connections.
-	sweepInterval = time.Second
 )
 
 // pool keeps idle connections to one address, the last used first.
--- a/pkg/target/targetconn.go
+++ b/pkg/target/targetconn.go
@@ -15,7 +15,8 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol/http1"
 	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
+
+	"nutmegstand.example/nutmegstand/pkg/link"
 )
 
 // errNoSecondDial stops hertz from sending a request again on a new connection.
@@ -190,21 +191,7 @@
 // closed it, and no bytes arrived that belong to no request. It looks at the
 // socket without reading or waiting.
 func (c *targetConn) quiet() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.isClosed() || c.reader.Len() > 0 {
-		return false
-	}
-	socket, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	nothing := false
-	err = socket.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		nothing = errors.Is(recvErr, unix.EAGAIN)
-	})
-	return err == nil && nothing
+	return !c.isClosed() && c.reader.Len() == 0 && link.Quiet(c.Conn)
 }
 
 // isReset reports whether the target's side of the connection ended.
