--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balancer.go
@@ -257,6 +257,9 @@
 		r.load = *a.Load
 		r.load.At = now
 		r.sinceLoad = 0
+	} else {
+		// The call ended without news of the load, so it no longer adds to it.
+		r.sinceLoad = max(0, r.sinceLoad-1)
 	}
 	if a.Outcome == Answered && !failed {
 		b.learnRun(r, call.Route, a.Ran)
--- a/pkg/proxy/budget.go
+++ b/pkg/proxy/budget.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 func (b *RetryBudget) service(name string) *serviceBudget {
 	s := b.services[name]
 	if s == nil {
-		s = &serviceBudget{slack: rate.NewLimiter(0, 0)}
+		s = &serviceBudget{}
 		b.services[name] = s
 	}
 	return s
@@ -60,11 +61,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
-	s.credit = min(s.credit+b.ratio*ratioShare, b.share())
+	s.credit = min(s.credit+b.ratio*ratioShare, max(1, b.share()))
 }
 
-// share is the daemon's part of the slack within one window. Half of it may be
-// saved up as credit, half refills over the window.
+// share is half of the daemon's part of the slack within one window; the other
+// half may be saved up as credit.
 func (b *RetryBudget) share() float64 { return b.slack * slackShare / float64(max(1, b.daemons())) / 2 }
 
 // Repeated counts a call of a repeated run, which is a repeat at the service that
@@ -88,10 +89,21 @@
 	if s.credit < 0 {
 		return false
 	}
-	share := max(1, b.share())
-	s.slack.SetLimit(rate.Limit(share / b.window.Seconds()))
-	if s.slack.Burst() == 0 {
-		s.slack = rate.NewLimiter(rate.Limit(share/b.window.Seconds()), int(share))
+	return s.allowSlack(b.share(), b.window)
+}
+
+// allowSlack spends the daemon's share of the slack. In a large fleet the share
+// is less than one repeat; then only that part of the daemons begins with one.
+func (s *serviceBudget) allowSlack(share float64, window time.Duration) bool {
+	perSecond := rate.Limit(share / window.Seconds())
+	burst := max(1, int(share))
+	if s.slack == nil {
+		s.slack = rate.NewLimiter(perSecond, burst)
+		if rand.Float64() >= share {
+			s.slack.Allow()
+		}
 	}
+	s.slack.SetLimit(perSecond)
+	s.slack.SetBurst(burst)
 	return s.slack.Allow()
 }
--- a/test/docs/promises_test.go
+++ b/test/docs/promises_test.go
@@ -11,7 +11,7 @@
 )
 
 // proof matches a named test such as `pkg/config.TestMatch`.
-var proof = regexp.MustCompile("`((?:pkg|test|cmd)/[a-z/]+)\\.((?:Test|Fuzz)[A-Za-z0-9_]+)`")
+var proof = regexp.MustCompile("`((?:(?:pkg|test|cmd)/[a-z/]+|platform))\\.((?:Test|Fuzz)[A-Za-z0-9_]+)`")
 
 // TestPromisesNameExistingTests guards against a promise whose proof was
 // renamed or removed.
