Remove three fields that nothing reads

Cause: the connection's use mark, the gate's metrics and the directory's name were written and never read (the ingress counts attempts and requests). Change: the fields are gone; behaviour is the same.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -21,7 +21,6 @@
 type directory struct {
 	table *fleet.Table
 	clock clock.Clock
-	name  string
 	zone  string
 
 	mu       sync.Mutex
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -167,7 +167,7 @@
 	}}
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		Names: n.platform.Headers, Config: &n.config, Versions: n.moves, Suspects: n.suspects, Clock: n.clock,
-		DrainPeriod: s.DrainPeriod.Duration(), Logger: n.logger, Metrics: instruments,
+		DrainPeriod: s.DrainPeriod.Duration(), Logger: n.logger,
 		Changed: func() { n.keeper.refresh() },
 	})
 	n.keeper = &targetKeeper{
@@ -175,7 +175,7 @@
 		update: n.fleet.Update, clock: n.clock, logger: n.logger,
 	}
 	n.balancer, n.peers = proxy.NewBalancer(n.logger), proxy.NewPeers()
-	view := &directory{table: n.table, clock: n.clock, name: s.Name, zone: s.Domain}
+	view := &directory{table: n.table, clock: n.clock, zone: s.Domain}
 	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), view.size)
 	ingress := proxy.NewIngress(proxy.IngressOptions{
 		Names: n.platform.Headers, Service: s.Service, Config: &n.config, Directory: view, Versions: n.moves,
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -55,7 +55,6 @@
 	writer  *bufio.Writer
 	idledAt time.Time
 	idleFor time.Duration // stated by the other side, 0 if it did not
-	used    bool
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -247,7 +246,6 @@
 		_ = x.conn.Close()
 		return false
 	}
-	x.conn.used = true
 	x.conn.idleFor = keepAliveTimeout(r.Header)
 	return true
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -54,7 +54,6 @@
 	Clock       clock.Clock
 	DrainPeriod time.Duration // from the acknowledged leaving to the last request
 	Logger      *zap.Logger
-	Metrics     *Metrics
 	Changed     func() // called when the target accepts no connection, or does again
 }
 
