Add a fault soak of the platform's daemons, and give them a program of their own

Change: test/platform/soak runs daemons as processes behind loopback proxies for TCP and UDP, with the store's and targets' stand-ins, and checks: runs and refusals of orders, whole answers, drains, reverts, recovery. Daemons can advertise other addresses than they listen on. cmd/nutmegnode is the platform's daemon; the code of both programs is in pkg/service, which takes signals before it reads the settings.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Port range of the demo; set another one when it is taken.
 DEMO_BASE_PORT ?= 21000
 
-.PHONY: build demo test measure fmt lint generate
+.PHONY: build demo test measure soak fmt lint generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,6 +21,11 @@
 fmt:
 	go tool gofumpt -w cmd pkg platform test
 
+# Random seeds of the fault soak; SOAK_FROM and SOAK_LOGS are taken from the environment.
+SEEDS ?= 10
+soak:
+	SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 120m -parallel 4 -v -run TestSoak ./test/platform/soak
+
 measure:
 	@go run ./test/measure
 
--- /dev/null
+++ b/cmd/nutmegnode/main.go
@@ -0,0 +1,32 @@
+// Command nutmegnode is the daemon that runs beside each target of the users'
+// platform. It is a program of its own, since machines there are small: it holds
+// nothing of the parts that check files and serve administrators.
+package main
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"nutmegstand.example/nutmegstand/pkg/node"
+	"nutmegstand.example/nutmegstand/pkg/service"
+	"nutmegstand.example/nutmegstand/platform"
+)
+
+func main() {
+	service.Main(load)
+}
+
+func load(file string) (*service.Program, error) {
+	s, err := node.LoadSettings(file)
+	if err != nil {
+		return nil, err
+	}
+	objects := platform.NewObjects(s.Store)
+	p := node.Platform{
+		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
+	}
+	return &service.Program{
+		MemoryLimit: s.MemoryLimitBytes, GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
+		Build: func(l *zap.Logger) (service.Runner, error) { return node.New(s, p, l) },
+	}, nil
+}
--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -77,7 +78,7 @@
 	defer cancel()
 	key := daemonPrefix + n.settings.Name
 	entry, err := json.Marshal(daemonEntry{
-		Address: n.settings.Listen.Fleet, Incarnation: n.table.Own().Incarnation,
+		Address: n.initialState().SyncAddress, Incarnation: n.table.Own().Incarnation,
 		LinkMbps: n.settings.LinkMbps, Cores: n.settings.Cores,
 	})
 	if err != nil {
@@ -181,7 +182,8 @@
 // initialState is what the daemon says of itself before it has heard anything.
 func (n *Node) initialState() fleet.State {
 	return fleet.State{
-		Zone: n.settings.Domain, CallAddress: n.settings.Listen.Daemons, SyncAddress: n.settings.Listen.Fleet,
-		LinkMbps: n.settings.LinkMbps, Cores: n.settings.Cores,
+		Zone: n.settings.Domain, CallAddress: cmp.Or(n.settings.Advertise.Daemons, n.settings.Listen.Daemons),
+		SyncAddress: cmp.Or(n.settings.Advertise.Fleet, n.settings.Listen.Fleet),
+		LinkMbps:    n.settings.LinkMbps, Cores: n.settings.Cores,
 	}
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -31,6 +31,13 @@
 	Metrics       string `json:"metrics"` // empty for none
 }
 
+// Advertise holds the addresses at which other daemons reach this one, where they
+// are not those that it listens on.
+type Advertise struct {
+	Daemons string `json:"daemons,omitempty"`
+	Fleet   string `json:"fleet,omitempty"` // TCP and UDP
+}
+
 // Retries bound the repeats of the whole fleet.
 type Retries struct {
 	Ratio  float64      `json:"ratio"` // of the requests of a service
@@ -45,6 +52,7 @@
 	Service          string       `json:"service"`
 	TargetAddress    string       `json:"targetAddress"`
 	Listen           Listen       `json:"listen"`
+	Advertise        Advertise    `json:"advertise"`
 	Store            string       `json:"store"`
 	Heartbeat        Milliseconds `json:"heartbeatMS"`   // interval of the target's heartbeats
 	DrainPeriod      Milliseconds `json:"drainPeriodMS"` // from an acknowledged leaving to the last request
@@ -100,8 +108,12 @@
 		"listen.daemons": s.Listen.Daemons, "listen.fleet": s.Listen.Fleet,
 		"listen.announcements": s.Listen.Announcements, "listen.readiness": s.Listen.Readiness,
 	}
-	if s.Listen.Metrics != "" {
-		addresses["listen.metrics"] = s.Listen.Metrics
+	for path, value := range map[string]string{
+		"listen.metrics": s.Listen.Metrics, "advertise.daemons": s.Advertise.Daemons, "advertise.fleet": s.Advertise.Fleet,
+	} {
+		if value != "" {
+			addresses[path] = value
+		}
 	}
 	for path, value := range addresses {
 		if address, err := netip.ParseAddrPort(value); err != nil || address.Port() == 0 {
--- /dev/null
+++ b/test/platform/soak/soak_test.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// ciSeed is the seed of the short run in CI.
+	ciSeed = 1
+	// ciDuration and seedDuration are the times in which faults are injected.
+	ciDuration   = 8 * time.Second
+	seedDuration = 15 * time.Second
+	// ciMachines and seedMachines are the sizes of a run.
+	ciMachines   = 5
+	seedMachines = 8
+)
+
+// regressions are seeds that have failed, with their cause.
+var regressions = map[uint64]string{}
+
+// TestSoak guards against broken promises under faults that come in series and
+// overlap. SOAK_SEEDS asks for a number of seeds from SOAK_FROM on; without it one
+// short run and the seeds that failed before are played.
+func TestSoak(t *testing.T) {
+	binDir := build(t)
+	seeds, err := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
+	if err != nil {
+		play(t, Options{Seed: ciSeed, Machines: ciMachines, Duration: ciDuration, BinDir: binDir})
+		for seed := range regressions {
+			play(t, Options{Seed: seed, Machines: seedMachines, Duration: seedDuration, BinDir: binDir})
+		}
+		return
+	}
+	from, err := strconv.ParseUint(os.Getenv("SOAK_FROM"), 10, 64)
+	if err != nil {
+		from = uint64(time.Now().UnixNano())
+	}
+	for i := range uint64(seeds) {
+		play(t, Options{Seed: from + i, Machines: seedMachines, Duration: seedDuration, BinDir: binDir})
+	}
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binDir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", binDir, "../../../cmd/nutmegnode").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	return binDir
+}
+
+// play runs one seed. Its logs are kept under SOAK_LOGS if that is set.
+func play(t *testing.T, o Options) {
+	t.Run(fmt.Sprintf("seed-%d", o.Seed), func(t *testing.T) {
+		t.Parallel()
+		o.LogDir = t.TempDir()
+		if dir := os.Getenv("SOAK_LOGS"); dir != "" {
+			o.LogDir = filepath.Join(dir, strconv.FormatUint(o.Seed, 10))
+			assert.NilError(t, os.MkdirAll(o.LogDir, 0o700))
+		}
+		result := Run(t, o)
+		t.Logf("%d requests, answers by status %v", result.Requests, result.Statuses)
+		if len(result.Broken) > 0 {
+			for _, f := range result.Faults {
+				t.Log(f)
+			}
+		}
+		for _, b := range result.Broken {
+			t.Error(b)
+		}
+		assert.Assert(t, result.Statuses[200] > result.Requests/5, "most requests were not served")
+	})
+}
