--- a/test/platform/soak/wire.go
+++ b/test/platform/soak/wire.go
@@ -16,9 +16,6 @@
 	cutBack bool          // nothing comes back from it
 }
 
-// pollInterval is the time between looks at the condition of a cut wire.
-const pollInterval = 20 * time.Millisecond
-
 // wire is a loopback proxy in front of an address, for TCP and UDP.
 type wire struct {
 	Address string
