Share unchanged routes between versions of the configuration

Cause: 32 kept versions with up to 2,014 routes each held every route 32 times, about 11 MB at 180 bytes a route; peak memory is priced. Change: configurations hold pointers to routes; a version that comes into force takes the routes that did not change from the one before.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -125,9 +125,9 @@
 // with a delta and from nothing.
 func TestConfigSpreads(t *testing.T) {
 	daemons := startFleet(t, "a", "b")
-	routes := []routing.Route{{Name: "r", Host: "h", Prefix: "/a/", Split: []routing.Share{{Service: "s", Weight: 1}}}}
+	routes := []*routing.Route{{Name: "r", Host: "h", Prefix: "/a/", Split: []routing.Share{{Service: "s", Weight: 1}}}}
 	for version := uint64(3); version < 9; version += 2 {
-		routes = append(routes, routing.Route{Name: string(rune('a' + version)), Host: "h", Prefix: "/b/", Timeout: time.Duration(version)})
+		routes = append(routes, &routing.Route{Name: string(rune('a' + version)), Host: "h", Prefix: "/b/", Timeout: time.Duration(version)})
 		daemons[0].Adopted(&routing.Config{Version: version, Routes: routes})
 		daemons[0].push()
 		eventually(t, "the version spreads", func() bool { return daemons[1].config.Load().Version() == version })
@@ -278,8 +278,8 @@
 // for each of hundreds of peers.
 func TestConfigReplyIsMadeOnce(t *testing.T) {
 	d := startDaemon(t, "a", 1)
-	d.Adopted(&routing.Config{Version: 1, Routes: []routing.Route{{Name: "r"}}})
-	d.Adopted(&routing.Config{Version: 2, Routes: []routing.Route{{Name: "r", Host: "h"}}})
+	d.Adopted(&routing.Config{Version: 1, Routes: []*routing.Route{{Name: "r"}}})
+	d.Adopted(&routing.Config{Version: 2, Routes: []*routing.Route{{Name: "r", Host: "h"}}})
 	first, err := d.configReply(1)
 	assert.NilError(t, err)
 	again, err := d.configReply(1)
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -62,7 +62,7 @@
 // Attempt implements proxy.Evidence.
 func (m *mesh) Attempt(string, string, string, bool, time.Duration) {}
 
-func testRoutes() []routing.Route {
+func testRoutes() []*routing.Route {
 	split := []routing.Share{{Service: testService, Weight: 1}}
 	base := routing.Route{Host: "fish.example", Timeout: 2 * time.Second, Objective: time.Second, Attempts: 2, Split: split}
 	look, order, short := base, base, base
@@ -71,7 +71,7 @@
 	short.Name, short.Prefix, short.Kind, short.Timeout = "short", "/short/", routing.NonIdempotent, 200*time.Millisecond
 	bulk := order
 	bulk.Name, bulk.Prefix, bulk.Timeout = "bulk", "/bulk/", time.Minute
-	return []routing.Route{look, order, short, bulk}
+	return []*routing.Route{&look, &order, &short, &bulk}
 }
 
 // slowLink is the speed in Mbit/s that the machines are said to have.
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -51,6 +51,9 @@
 }
 
 func (r *Route) equal(o *Route) bool {
+	if r == o {
+		return true
+	}
 	if r.Host != o.Host || r.Prefix != o.Prefix || r.Kind != o.Kind || r.Timeout != o.Timeout ||
 		r.Objective != o.Objective || r.Attempts != o.Attempts || r.Priority != o.Priority || len(r.Split) != len(o.Split) {
 		return false
@@ -81,16 +84,30 @@
 // Config is one accepted version of the configuration.
 type Config struct {
 	Version  uint64    `json:"version"`
-	Routes   []Route   `json:"routes"`
+	Routes   []*Route  `json:"routes"` // not changed once the version is in force
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
 }
 
+// share takes the unchanged routes of another version, so that several versions
+// of many routes fit into memory.
+func (c *Config) share(held *Config) {
+	known := make(map[string]*Route, len(held.Routes))
+	for _, route := range held.Routes {
+		known[route.Name] = route
+	}
+	for i, route := range c.Routes {
+		if old := known[route.Name]; old != nil && route.equal(old) {
+			c.Routes[i] = old
+		}
+	}
+}
+
 // Delta turns the configuration of one version into that of another.
 type Delta struct {
 	From     uint64    `json:"from"`
 	Version  uint64    `json:"version"`
-	Set      []Route   `json:"set,omitempty"`
+	Set      []*Route  `json:"set,omitempty"`
 	Removed  []string  `json:"removed,omitempty"`
 	Services []Service `json:"services,omitempty"`
 	Limits   Limits    `json:"limits"`
@@ -100,14 +117,13 @@
 func (c *Config) Diff(old *Config) *Delta {
 	delta := &Delta{From: old.Version, Version: c.Version, Services: c.Services, Limits: c.Limits}
 	before := make(map[string]*Route, len(old.Routes))
-	for i := range old.Routes {
-		before[old.Routes[i].Name] = &old.Routes[i]
+	for _, route := range old.Routes {
+		before[route.Name] = route
 	}
-	for i := range c.Routes {
-		route := &c.Routes[i]
+	for _, route := range c.Routes {
 		previous, ok := before[route.Name]
 		if !ok || !route.equal(previous) {
-			delta.Set = append(delta.Set, *route)
+			delta.Set = append(delta.Set, route)
 		}
 		delete(before, route.Name)
 	}
@@ -128,12 +144,12 @@
 	for _, name := range delta.Removed {
 		changed[name] = true
 	}
-	for i := range delta.Set {
-		changed[delta.Set[i].Name] = true
+	for _, route := range delta.Set {
+		changed[route.Name] = true
 	}
-	for i := range c.Routes {
-		if !changed[c.Routes[i].Name] {
-			next.Routes = append(next.Routes, c.Routes[i])
+	for _, route := range c.Routes {
+		if !changed[route.Name] {
+			next.Routes = append(next.Routes, route)
 		}
 	}
 	next.Routes = append(next.Routes, delta.Set...)
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -11,7 +11,7 @@
 // TestMatch guards against a shorter prefix, another host or part of a path
 // element that wins.
 func TestMatch(t *testing.T) {
-	table := NewTable(&Config{Routes: []Route{
+	table := NewTable(&Config{Routes: []*Route{
 		{Name: "short", Host: "Fish.example", Prefix: "/a/"},
 		{Name: "long", Host: "fish.example", Prefix: "/a/b/"},
 		{Name: "root", Host: "all.example", Prefix: "/"},
@@ -49,7 +49,7 @@
 	configs := rapid.Custom(func(t *rapid.T) *Config {
 		c := &Config{Version: rapid.Uint64Range(1, 1000).Draw(t, "version")}
 		for i := range rapid.IntRange(0, 6).Draw(t, "routes") {
-			c.Routes = append(c.Routes, Route{
+			c.Routes = append(c.Routes, &Route{
 				Name: strconv.Itoa(i * rapid.IntRange(1, 3).Draw(t, "name") * 7 % 11), Attempts: rapid.IntRange(0, 1).Draw(t, "attempts"),
 				Split: []Share{{Service: "s", Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))}},
 			})
@@ -65,19 +65,19 @@
 		}
 		byName := make(map[string]*Route)
 		for i := range got.Routes {
-			byName[got.Routes[i].Name] = &got.Routes[i]
+			byName[got.Routes[i].Name] = got.Routes[i]
 		}
 		for i := range after.Routes {
-			if r := byName[after.Routes[i].Name]; r == nil || !r.equal(&after.Routes[i]) {
+			if r := byName[after.Routes[i].Name]; r == nil || !r.equal(after.Routes[i]) {
 				t.Fatalf("route %+v is %+v", after.Routes[i], r)
 			}
 		}
 	})
 }
 
-func unique(routes []Route) []Route {
+func unique(routes []*Route) []*Route {
 	seen := make(map[string]bool)
-	var kept []Route
+	var kept []*Route
 	for _, r := range routes {
 		if !seen[r.Name] {
 			seen[r.Name] = true
@@ -93,3 +93,19 @@
 	_, ok := (&Config{Version: 3}).Apply(&Delta{From: 2, Version: 4})
 	assert.Assert(t, !ok)
 }
+
+// TestVersionsShareRoutes guards against a history of many versions that holds
+// each unchanged route once for each version.
+func TestVersionsShareRoutes(t *testing.T) {
+	version := func(v uint64, attempts int) *Config {
+		return &Config{Version: v, Routes: []*Route{{Name: "same", Host: "h"}, {Name: "changed", Attempts: attempts}}}
+	}
+	var current Current
+	assert.Assert(t, current.Advance(version(1, 1)))
+	first := current.Load().Config
+	assert.Assert(t, current.Advance(version(2, 2)))
+	second := current.Load().Config
+	assert.Assert(t, first.Routes[0] == second.Routes[0])
+	assert.Equal(t, first.Routes[1].Attempts, 1)
+	assert.Equal(t, second.Routes[1].Attempts, 2)
+}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -16,8 +16,7 @@
 // NewTable compiles a configuration.
 func NewTable(c *Config) *Table {
 	t := &Table{Config: c, hosts: make(map[string]map[string]*Route), services: make(map[string]*Service)}
-	for i := range c.Routes {
-		route := &c.Routes[i]
+	for _, route := range c.Routes {
 		host := strings.ToLower(route.Host)
 		if t.hosts[host] == nil {
 			t.hosts[host] = make(map[string]*Route)
@@ -67,7 +66,8 @@
 // Load returns the table in force, nil before the first one.
 func (c *Current) Load() *Table { return c.table.Load() }
 
-// Advance puts a configuration in force if it is newer than the held one.
+// Advance puts a configuration in force if it is newer than the held one. The
+// configuration is Current's from then on.
 func (c *Current) Advance(config *Config) bool {
 	var next *Table
 	for {
@@ -76,6 +76,9 @@
 			return false
 		}
 		if next == nil {
+			if held != nil {
+				config.share(held.Config)
+			}
 			next = NewTable(config)
 		}
 		if c.table.CompareAndSwap(held, next) {
