Move targets to other versions in the soak, and take the later of two leavings

Cause: the soak had no moves; and of two leavings of one target ID that peers tell a restarted daemon, the one told first counted, also if it was the earlier one. Change: every second seed of make soak orders moves to good and bad versions beside the faults, and checks that no request reaches a version after its end was reported and that no bad one is completed. The daemon keeps the later leaving.

--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -83,7 +83,7 @@
 func (k *targetKeeper) noteLeft(id string, born int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if _, known := k.left[id]; known {
+	if known, ok := k.left[id]; ok && known >= born {
 		return
 	}
 	k.recordLeft(id, born)
--- a/pkg/node/target_test.go
+++ b/pkg/node/target_test.go
@@ -57,6 +57,18 @@
 	assert.Assert(t, k.usable(), "it has started again under its ID")
 }
 
+// TestPeersTellDifferentStarts guards against an earlier leaving, told first,
+// that hides a later one of the same ID.
+func TestPeersTellDifferentStarts(t *testing.T) {
+	k := newKeeperTest()
+	k.noteLeft("t", 5)
+	k.noteLeft("t", 9)
+	k.noteLeft("t", 5)
+	k.release()
+	k.Announce(announcement("t", 9, 3))
+	assert.Assert(t, !k.usable())
+}
+
 // TestLeftTargetIsToldLate guards against peers that answer after the target
 // came into use.
 func TestLeftTargetIsToldLate(t *testing.T) {
--- a/test/platform/soak/ledger.go
+++ b/test/platform/soak/ledger.go
@@ -20,11 +20,13 @@
 	mu       sync.Mutex
 	attempts map[string]*attempt
 	broken   []string
+	ended    map[string]time.Time // since when a version must get no request
+	bad      map[string]bool      // versions whose targets fail
 	statuses map[int]int
 }
 
 func newLedger() *ledger {
-	return &ledger{attempts: make(map[string]*attempt), statuses: make(map[int]int)}
+	return &ledger{attempts: make(map[string]*attempt), ended: make(map[string]time.Time), bad: make(map[string]bool), statuses: make(map[int]int)}
 }
 
 // breach records a broken promise.
@@ -59,6 +61,39 @@
 	l.statuses[status]++
 }
 
+func (l *ledger) markBad(version string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bad[version] = true
+}
+
+func (l *ledger) isBad(version string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bad[version]
+}
+
+// end says that a version must get no request from now on, or may again.
+func (l *ledger) end(version string, on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.ended, version)
+	if on {
+		l.ended[version] = time.Now()
+	}
+}
+
+// checkVersion checks that a request may reach a target of a version. The end of a
+// version is noted here a little after it was reported.
+func (l *ledger) checkVersion(id, version string) {
+	l.mu.Lock()
+	at, ended := l.ended[version]
+	l.mu.Unlock()
+	if ended {
+		l.breach("version: request %s reached %s %s after its end was reported", id, version, time.Since(at))
+	}
+}
+
 // promisesNotRun reports whether a status says that the request has not run.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/test/platform/soak/machine.go
+++ b/test/platform/soak/machine.go
@@ -33,6 +33,7 @@
 	process *processes.Process
 	boots   int
 	target  *target
+	version string // of the next target
 	starts  int
 	busy    bool // a fault of the daemon or the target is under way
 }
@@ -64,7 +65,7 @@
 }
 
 func newMachine(i int, fleet *processes.Fleet, store string, l *ledger) (*machine, error) {
-	m := &machine{name: fmt.Sprintf("vm-%d", i), fleet: fleet, ledger: l}
+	m := &machine{name: fmt.Sprintf("vm-%d", i), fleet: fleet, ledger: l, version: firstVersion}
 	m.settings = &node.Settings{
 		Name: m.name, Domain: fmt.Sprintf("domain-%d", i%3), Service: service,
 		Heartbeat: node.Milliseconds(heartbeat.Milliseconds()), DrainPeriod: node.Milliseconds(drainPeriod.Milliseconds()),
@@ -119,13 +120,37 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.starts++
-	t, err := startTarget(fmt.Sprintf("i-%s-%d", m.name, m.starts), m.settings.TargetAddress, m.settings.Listen.Announcements, m.ledger)
+	t, err := startTarget(fmt.Sprintf("i-%s-%d", m.name, m.starts), m.version, m.settings.TargetAddress, m.settings.Listen.Announcements, m.ledger)
 	if err == nil {
 		m.target = t
 	}
 	return err
 }
 
+// setVersion sets the version of later targets.
+func (m *machine) setVersion(version string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version = version
+}
+
+// replaceTarget starts a target of another version once the former one has left,
+// or at once if that is to be stopped.
+func (m *machine) replaceTarget(version string, drain bool) error {
+	for !m.take() {
+		time.Sleep(readyPoll)
+	}
+	defer m.release()
+	m.setVersion(version)
+	_, t, _ := m.current()
+	if drain {
+		t.leave()
+	} else {
+		t.crash()
+	}
+	return m.startTarget()
+}
+
 // signal sends a signal to the daemon.
 func (m *machine) signal(s syscall.Signal) error {
 	m.mu.Lock()
--- a/test/platform/soak/soak.go
+++ b/test/platform/soak/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -28,6 +27,7 @@
 	Seed     uint64
 	Machines int
 	Duration time.Duration // of the faults
+	Moves    bool          // to other versions of the targets, beside the faults
 	BinDir   string
 	LogDir   string
 }
@@ -79,7 +79,14 @@
 		}
 		clients.Go(func() { newClient(m).probe(ctx, s.latest) })
 	}
+	var moves sync.WaitGroup
+	done := make(chan struct{})
+	if o.Moves {
+		moves.Go(func() { s.moves(rand.New(rand.NewPCG(o.Seed, 1)), done) })
+	}
 	s.disturb()
+	close(done)
+	moves.Wait()
 	s.awaitService("recover", recoverBound)
 	cancel()
 	clients.Wait()
@@ -127,9 +134,7 @@
 		d := shortestFault + time.Duration(rng.Int64N(int64(longestFault-shortestFault)))
 		pause := time.Duration(rng.Int64N(int64(longestPause)))
 		if s.begin(f, m) {
-			s.mu.Lock()
-			s.log = append(s.log, fmt.Sprintf("%s %s %s %s", time.Now().Format("15:04:05.000"), f.name, m.name, d))
-			s.mu.Unlock()
+			s.note("%s %s %s", f.name, m.name, d)
 			active.Go(func() {
 				defer s.end(f, m)
 				s.check(f.inject(s, m, d))
--- a/test/platform/soak/soak_test.go
+++ b/test/platform/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 	ciSeed = 1
 	// ciDuration and seedDuration are the times in which faults are injected.
 	ciDuration   = 8 * time.Second
-	seedDuration = 15 * time.Second
+	seedDuration = 30 * time.Second
 	// ciMachines and seedMachines are the sizes of a run.
 	ciMachines   = 5
 	seedMachines = 8
@@ -44,7 +45,7 @@
 		from = uint64(time.Now().UnixNano())
 	}
 	for i := range uint64(seeds) {
-		play(t, Options{Seed: from + i, Machines: seedMachines, Duration: seedDuration, BinDir: binDir})
+		play(t, Options{Seed: from + i, Machines: seedMachines, Duration: seedDuration, Moves: i%2 == 1, BinDir: binDir})
 	}
 }
 
@@ -67,8 +68,8 @@
 		}
 		result := Run(t, o)
 		t.Logf("%d requests, answers by status %v", result.Requests, result.Statuses)
-		if len(result.Broken) > 0 {
-			for _, f := range result.Faults {
+		for _, f := range result.Faults {
+			if len(result.Broken) > 0 || strings.Contains(f, "move to") {
 				t.Log(f)
 			}
 		}
--- a/test/platform/soak/target.go
+++ b/test/platform/soak/target.go
@@ -35,6 +35,7 @@
 // target is one start of a machine's target.
 type target struct {
 	id, address string
+	version     string
 	control     string // where heartbeats go
 	born        int64
 	ledger      *ledger
@@ -51,12 +52,12 @@
 }
 
 // startTarget listens at an address and begins to send heartbeats.
-func startTarget(id, address, control string, l *ledger) (*target, error) {
+func startTarget(id, version, address, control string, l *ledger) (*target, error) {
 	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
-	t := &target{id: id, address: address, control: control, born: time.Now().UnixMilli(), ledger: l, listener: listener}
+	t := &target{id: id, version: version, address: address, control: control, born: time.Now().UnixMilli(), ledger: l, listener: listener}
 	t.mood.Store(&mood{})
 	t.server = &http.Server{Handler: t}
 	go func() { _ = t.server.Serve(listener) }()
@@ -110,7 +111,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"address": t.address, "born": t.born,
-		"info":   map[string]any{"service": service, "version": "v1", "zone": "z", "slots": slots},
+		"info":   map[string]any{"service": service, "version": t.version, "zone": "z", "slots": slots},
 		"status": map[string]any{"state": state, "sequence": t.sequence.Add(1), "warmup_left_ms": 0},
 	})
 	if err != nil {
@@ -151,6 +152,7 @@
 	if left := t.leftAt.Load(); left != 0 && time.Since(time.Unix(0, left)) > drainPeriod+drainSlack {
 		t.ledger.breach("drain: request %s reached %s %s after its leaving was acknowledged", id, t.id, time.Since(time.Unix(0, left)))
 	}
+	t.ledger.checkVersion(id, t.version)
 	if t.busy.Add(1) > slots {
 		t.busy.Add(-1)
 		notRun(http.StatusServiceUnavailable)
@@ -172,7 +174,7 @@
 	}
 	w.Header().Set(names.RequestID, id)
 	w.Header().Set(names.Signature, signature(id))
-	if m.fail && rand.Float64() < failedShare {
+	if (m.fail || t.ledger.isBad(t.version)) && rand.Float64() < failedShare {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
