--- a/test/platform/soak/faults.go
+++ b/test/platform/soak/faults.go
@@ -157,7 +157,9 @@
 			}
 			p, _, _ := m.current()
 			p.Kill()
+			m.disturb(1)
 			defer m.release()
+			defer m.disturb(-1)
 			defer func() { s.check(m.start()) }()
 		}
 		time.Sleep(d / 2)
--- a/test/platform/soak/soak.go
+++ b/test/platform/soak/soak.go
@@ -135,8 +135,10 @@
 		pause := time.Duration(rng.Int64N(int64(longestPause)))
 		if s.begin(f, m) {
 			s.note("%s %s %s", f.name, m.name, d)
+			m.disturb(1)
 			active.Go(func() {
 				defer s.end(f, m)
+				defer m.disturb(-1)
 				s.check(f.inject(s, m, d))
 			})
 		}
