Take SIGHUP from the start of a daemon on

The daemon asked for SIGHUP only after it had read its settings and listened, some ms after its start; until then the signal ends a process. Change: both signals are asked for before the settings are read. The soak waits with a reload until the daemon answers, as with a stop: no program handles a signal while it is being loaded.

--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -58,17 +58,26 @@
 		flag.Usage()
 		return exitBadUsage
 	}
+	return runFile(*file, load)
+}
+
+// runFile asks for signals before anything else: a signal to a process that has
+// not done so ends it at once.
+func runFile(file string, load func(file string) (*Program, error)) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	p, err := load(*file)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	p, err := load(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadUsage
 	}
-	return p.run(ctx, *file)
+	return p.run(ctx, file, hangup)
 }
 
-func (p *Program) run(ctx context.Context, file string) int {
+func (p *Program) run(ctx context.Context, file string, hangup <-chan os.Signal) int {
 	if p.MemoryLimit > 0 {
 		debug.SetMemoryLimit(p.MemoryLimit)
 	}
@@ -84,7 +93,7 @@
 		return exitFailed
 	}
 	if r, ok := d.(Reloader); ok {
-		go watchSettings(ctx, file, r)
+		go watchSettings(ctx, file, hangup, r)
 	}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -94,10 +103,7 @@
 }
 
 // watchSettings reloads the settings on SIGHUP and when the file has changed.
-func watchSettings(ctx context.Context, file string, r Reloader) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func watchSettings(ctx context.Context, file string, hangup <-chan os.Signal, r Reloader) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	held := modified(file)
--- a/test/platform/soak/faults.go
+++ b/test/platform/soak/faults.go
@@ -87,6 +87,7 @@
 		if err := m.writeSettings(); err != nil {
 			return err
 		}
+		m.awaitStart(d)
 		return m.signal(syscall.SIGHUP)
 	}, true},
 	{"target crash", func(_ *soak, m *machine, d time.Duration) error {
