--- a/pkg/fleet/datagram.go
+++ b/pkg/fleet/datagram.go
@@ -20,6 +20,8 @@
 	// repeatDelay is the time after which news is pushed once more, since
 	// datagrams get lost. Exchanges repair what both pushes missed.
 	repeatDelay = 150 * time.Millisecond
+	// readPause keeps a socket that fails again and again from taking the processor.
+	readPause = 20 * time.Millisecond
 	// readBuffer holds the largest datagram that UDP carries.
 	readBuffer = 64 << 10
 )
@@ -140,6 +142,7 @@
 			}
 			// A refused earlier datagram shows here; the socket stays usable.
 			eventPeerUnreached.Log(f.Logger, zap.String("reason", "datagram"), zap.Error(err))
+			time.Sleep(readPause)
 			continue
 		}
 		message := &pb.SyncRequest{}
