Log the age of the last store contact, and measure the version in force

Cause: the logs did not tell when a watcher last heard from the store, so a watcher that is blind looked like one without changes.

Change: contact_age in store_lost and operator_read_failed; gauges for the configuration version and for the age of the last contact.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -117,6 +117,9 @@
 	n.startedAt, n.removedEntries = n.clock.Now(), make(map[string]uint64)
 	n.stopGrace.Store(int64(s.StopGrace.Duration()))
 	n.buildFleet()
+	if err = n.registerMetrics(n.metrics.Meter); err != nil {
+		return nil, &StartError{"metrics", err}
+	}
 	n.buildMoves()
 	n.buildProxy(instruments)
 	return n, nil
@@ -154,7 +157,7 @@
 		HandleReport:     n.handleReport,
 		HandleLeftTarget: func(target string, startMS int64) { n.target.handleLeftTarget(target, startMS) },
 	})
-	n.store = &storeHealth{node: n}
+	n.store = &storeHealth{node: n, succeededAt: n.startedAt}
 }
 
 func (n *Node) buildMoves() {
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -98,7 +98,8 @@
 			}
 		} else if ctx.Err() == nil {
 			w.node.store.failed(err)
-			eventReadFailed.Log(w.node.logger, zap.String("entries", w.entries), zap.Int64("revision", w.revision), zap.Error(err))
+			eventReadFailed.Log(w.node.logger, zap.String("entries", w.entries), zap.Int64("revision", w.revision),
+				zap.Duration("contact_age", w.node.store.contactAge()), zap.Error(err))
 		}
 		w.pause(ctx, wait.NextBackOff())
 	}
@@ -216,9 +217,17 @@
 type storeHealth struct {
 	node *Node
 
-	mu       sync.Mutex
-	failures int
-	lostAt   clock.Instant
+	mu          sync.Mutex
+	failures    int
+	lostAt      clock.Instant
+	succeededAt clock.Instant // the last successful call, or the start of the daemon
+}
+
+// contactAge returns the time since the last successful call.
+func (h *storeHealth) contactAge() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.node.clock.Now().Sub(h.succeededAt)
 }
 
 func (h *storeHealth) ok() bool {
@@ -231,6 +240,7 @@
 	h.mu.Lock()
 	failures := h.failures
 	h.failures = 0
+	h.succeededAt = h.node.clock.Now()
 	lostAt := h.lostAt
 	h.mu.Unlock()
 	if failures >= storeFailureThreshold {
@@ -248,7 +258,7 @@
 	}
 	h.mu.Unlock()
 	if lost {
-		eventStoreLost.Log(h.node.logger, zap.Error(err))
+		eventStoreLost.Log(h.node.logger, zap.Duration("contact_age", h.contactAge()), zap.Error(err))
 		h.node.fleet.Update(func(s *fleet.State) { s.StoreFails = true })
 	}
 }
