--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -52,6 +52,7 @@
 	t        *testing.T
 	store    *standin.Store
 	machines []*machine
+	prepare  func(m *machine) // called before a machine starts, if set
 }
 
 func newDeployment(t *testing.T, n int) *deployment {
@@ -69,6 +70,9 @@
 	d.t.Helper()
 	for i := range n {
 		m := d.newMachine(i)
+		if d.prepare != nil {
+			d.prepare(m)
+		}
 		m.start()
 		go m.sendHeartbeats(d.t.Context())
 		d.machines = append(d.machines, m)
