Let standbys watch the configuration when no watcher hears from the store

Cause: three daemons read for all others, and each of them detected on its own that the store no longer answers: after a watch of 3 s, 0.5 s for its response, and 1 s for each further group of daemons that could not reach it either. All three lose the store together when it stops answering many daemons, when many are cut off from it, and when open connections stop delivering. The class: the time to detect the loss of a role that serves all was not part of the bound it serves.

Change: watchers report each answer of the store to the daemons ranked behind them; nine standbys watch when they hear nothing for 1.1 s. The watch calls of the watchers are 2 s long and end in turn. Watches of orders are 6 s long, so that the number of calls stays below what TestStoreCalls allows.

--- a/pkg/fleet/datagram.go
+++ b/pkg/fleet/datagram.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// ReportStoreContact tells the named members that the store has just answered this
+// daemon's watch of the configuration.
+func (f *Fleet) ReportStoreContact(names []string) {
+	message := &pb.SyncRequest{From: f.Table.self, ConfigVersion: f.Options.Config.Load().Version(), StoreContact: true}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		eventStateRejected.Log(f.Logger, zap.Error(err))
+		return
+	}
+	for _, name := range names {
+		if m, ok := f.Table.Member(name); ok && !m.Self {
+			f.sendTo(name, m.State.SyncAddress, data)
+		}
+	}
+}
+
 // encodeWithLocalState adds the local state to message and encodes it.
 func (f *Fleet) encodeWithLocalState(message *pb.SyncRequest) []byte {
 	message.From, message.States = f.Table.self, []*pb.MemberState{f.Table.localState()}
@@ -180,6 +196,9 @@
 	f.merge(message.GetStates(), message.GetFacts())
 	f.recordConfigVersion(message.GetFrom(), message.GetConfigVersion())
 	f.handleLeft(message.GetLeft())
+	if message.GetStoreContact() {
+		f.HandleStoreContact(message.GetFrom())
+	}
 	if message.GetJoined() {
 		f.replyToJoin(message.GetFrom())
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -56,6 +56,9 @@
 	// process of this daemon acknowledged, as reported by a peer. startMS is the
 	// start of the target in Unix milliseconds.
 	HandleLeftTarget func(target string, startMS int64)
+	// HandleStoreContact is called when a peer reports that the store has just
+	// answered its watch of the configuration.
+	HandleStoreContact func(from string)
 }
 
 // Fleet replicates the table between the daemons.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -58,6 +58,7 @@
 	table      *fleet.Table
 	fleet      *fleet.Fleet
 	store      *storeHealth
+	contacts   *contactLog
 	moves      *rollout.Follower
 	recorder   *rollout.Recorder
 	collector  *rollout.Collector
@@ -150,12 +151,14 @@
 	// The start time orders the processes of a daemon. A daemon whose peers have a
 	// later incarnation of it raises its incarnation above that.
 	incarnation := uint64(time.Now().UnixMilli())
+	n.contacts = newContactLog(n.startedAt)
 	n.table = fleet.NewTable(n.settings.Name, incarnation, n.initialState(), n.clock)
 	n.fleet = fleet.New(fleet.Options{
 		Table: n.table, Peers: link.NewPeers(link.DialTCP), Datagrams: n.datagrams, Tasks: n.tasks, Config: &n.config, History: &n.history, Logger: n.logger,
-		ApplyConfig:      func(c *routing.Config) { n.applyConfig(c, false) },
-		HandleReport:     n.handleReport,
-		HandleLeftTarget: func(target string, startMS int64) { n.target.handleLeftTarget(target, startMS) },
+		ApplyConfig:        func(c *routing.Config) { n.applyConfig(c, false) },
+		HandleReport:       n.handleReport,
+		HandleLeftTarget:   func(target string, startMS int64) { n.target.handleLeftTarget(target, startMS) },
+		HandleStoreContact: func(from string) { n.contacts.record(from, n.clock.Now()) },
 	})
 	n.store = &storeHealth{node: n, succeededAt: n.startedAt}
 }
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -22,9 +22,22 @@
 	// watcherCount is the number of daemons that watch the operator's entries. Three
 	// tolerate the simultaneous loss of two.
 	watcherCount = 3
-	// watchTimeout bounds one watch call, and so the time to detect a broken path to
-	// the store. The other watchers continue meanwhile.
-	watchTimeout = 3 * time.Second
+	// standbyCount is the number of daemons, ranked behind the watchers, that watch in
+	// their place when no watcher reports contact with the store.
+	standbyCount = 9
+	// configWatchPeriod is the period of the watch calls of one watcher of the
+	// configuration. The calls of the watchers end in turn, so that the standbys hear
+	// from one of them watcherCount times in each period.
+	configWatchPeriod = 2 * time.Second
+	// minConfigWatch is the shortest watch call of the configuration.
+	minConfigWatch = 100 * time.Millisecond
+	// standbyTimeout is the time without a report of a better ranked daemon after which
+	// the first standby watches. It is longer than the interval between the reports of
+	// all watchers. standbyStagger is added for each further standby.
+	standbyTimeout = 1100 * time.Millisecond
+	standbyStagger = 30 * time.Millisecond
+	// orderWatchTimeout bounds one watch call of the orders.
+	orderWatchTimeout = 6 * time.Second
 	// registerTimeout bounds the wait for the registration after the start. An
 	// unregistered daemon then reads the operator's entries itself.
 	// peerConfigTimeout bounds the wait of a registered daemon for a configuration
@@ -44,6 +57,8 @@
 	entries string
 	read    func(ctx context.Context) (int64, error)
 	watch   func(ctx context.Context, from int64) (int64, error)
+	timeout func() time.Duration // of the next watch call
+	contact func()               // called after each successful call, if set
 
 	revision int64 // last revision seen, 0 if all entries must be read again
 }
@@ -57,18 +72,29 @@
 	return n.store.ok() && (n.config.Load() != nil || n.clock.Now().Sub(n.startedAt) < peerConfigTimeout)
 }
 
-// isWatcher reports whether this daemon has the role of operator watcher.
+// isWatcher reports whether this daemon watches the operator's entries, as a watcher or
+// as a standby.
 func (n *Node) isWatcher() bool {
 	if !n.registered.Load() || !n.watcherEligible.Load() {
 		return false
 	}
-	return slices.Contains(n.watchers(), n.settings.Name)
+	ranked := n.watchers()
+	position := slices.Index(ranked, n.settings.Name)
+	return position >= 0 && watchesAt(position, n.contacts.age(n.clock.Now(), ranked[:position]))
 }
 
-// watchers returns the daemons with the role of operator watcher, best first.
+// watchers returns the watchers and behind them the standbys, best first.
 func (n *Node) watchers() []string {
 	ranked := n.table.Rank(watcherRole, func(m *fleet.Member) bool { return !m.State.StoreFails })
-	return ranked[:min(len(ranked), watcherCount)]
+	return ranked[:min(len(ranked), watcherCount+standbyCount)]
+}
+
+// reportContact tells the other watchers and the standbys that the store has answered.
+func (n *Node) reportContact() { n.fleet.ReportStoreContact(n.watchers()) }
+
+// configWatchTimeout returns the time to wait in the next watch call.
+func (n *Node) configWatchTimeout() time.Duration {
+	return watchUntilTurn(time.Now(), slices.Index(n.watchers(), n.settings.Name))
 }
 
 // run reads and then watches the entries while the daemon has the role of operator
@@ -92,6 +118,9 @@
 		var notFound *store.NotFoundError
 		if err == nil || errors.As(err, &notFound) {
 			w.node.store.succeeded()
+			if w.contact != nil {
+				w.contact()
+			}
 			wait.Reset()
 			if err == nil {
 				continue
@@ -122,7 +151,7 @@
 
 // step makes one call: a watch from the last revision, or a read if there is none.
 func (w *watcher) step(ctx context.Context) error {
-	timeout := watchTimeout
+	timeout := w.timeout()
 	call := func(ctx context.Context) (int64, error) { return w.watch(ctx, w.revision) }
 	if w.revision == 0 {
 		timeout = storeCallTimeout
@@ -145,7 +174,7 @@
 
 func (n *Node) configWatcher() *watcher {
 	return &watcher{
-		node: n, entries: "configuration",
+		node: n, entries: "configuration", timeout: n.configWatchTimeout, contact: n.reportContact,
 		read: func(ctx context.Context) (int64, error) {
 			config, revision, err := n.platform.Operator.Config(ctx)
 			return revision, n.handleConfig(config, err)
@@ -189,7 +218,7 @@
 
 func (n *Node) orderWatcher() *watcher {
 	return &watcher{
-		node: n, entries: "orders",
+		node: n, entries: "orders", timeout: func() time.Duration { return orderWatchTimeout },
 		read: func(ctx context.Context) (int64, error) {
 			orders, revision, err := n.platform.Operator.Orders(ctx)
 			n.handleOrders(orders)
--- a/test/platform/watcher_test.go
+++ b/test/platform/watcher_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-
 	"nutmegstand.example/nutmegstand/test/platform/standin"
 )
 
