Fetch a configuration from another peer when the first does not answer

Cause: a fetch that failed ended the whole attempt; the next one waited for the next message of a peer, and could choose the same peer.

Change: up to three peers are asked, each of them once.

--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -19,6 +19,9 @@
 	// historyLength is the number of past configurations kept as bases for
 	// deltas. It covers a burst of changes that a peer cannot fetch one by one.
 	historyLength = 32
+	// maxFetchAttempts is the number of peers from which one version is requested. The
+	// connection to the first may no longer deliver, or the peer has just been lost.
+	maxFetchAttempts = 3
 	// maxConfigBytes bounds the decompressed size of a received configuration.
 	maxConfigBytes = 64 << 20
 )
@@ -110,14 +113,15 @@
 }
 
 // newestPeer returns a live peer with the newest configuration, or nil if none is
-// newer than the local one. The choice among equals is random, which spreads the
-// load: all daemons fetch a new version at the same time.
-func (f *Fleet) newestPeer() *Member {
+// newer than the local one. Members in failed are not considered. The choice among
+// equals is random, which spreads the load: all daemons fetch a new version at the
+// same time.
+func (f *Fleet) newestPeer(failed map[string]bool) *Member {
 	newest := f.Options.Config.Load().Version()
 	now := f.Table.clock.Now()
 	var peers []Member
 	f.Table.Each(func(m *Member) {
-		if m.Self || !m.Live(now) || m.ConfigVersion < newest || m.ConfigVersion == newest && len(peers) == 0 {
+		if m.Self || failed[m.Name] || !m.Live(now) || m.ConfigVersion < newest || m.ConfigVersion == newest && len(peers) == 0 {
 			return
 		}
 		if m.ConfigVersion > newest {
@@ -131,17 +135,22 @@
 	return &peers[rand.IntN(len(peers))]
 }
 
-// fetchConfig fetches newer configurations from peers until none is left or a
-// fetch fails.
+// fetchConfig fetches newer configurations from peers until none is left or
+// maxFetchAttempts fetches have failed.
 func (f *Fleet) fetchConfig() {
 	if !f.fetching.TryLock() {
 		return // the running fetch checks for newer versions before it returns
 	}
 	defer f.fetching.Unlock()
-	for peer := f.newestPeer(); peer != nil; peer = f.newestPeer() {
-		if !f.fetchFrom(peer) {
+	failed := make(map[string]bool)
+	for len(failed) < maxFetchAttempts {
+		peer := f.newestPeer(failed)
+		if peer == nil {
 			return
 		}
+		if !f.fetchFrom(peer) {
+			failed[peer.Name] = true
+		}
 	}
 }
 
