Log the rate limit that a target names

Cause: the logs had no limit, so a limit that is not read looked like one that is not kept.

Change: the daemon beside a target reads the limit from its responses and logs each change (target_rate_limit, 2008). Nothing else depends on it yet.

--- a/pkg/proxy/events.go
+++ b/pkg/proxy/events.go
@@ -23,4 +23,6 @@
 		"A target failed several consecutive attempts and gets no calls during the pause.")
 	eventServerError = telemetry.NewEvent(2007, "server_error", zapcore.DebugLevel,
 		"The HTTP server reported a problem with a connection.")
+	eventRateLimit = telemetry.NewEvent(2008, "target_rate_limit", zapcore.InfoLevel,
+		"The local target named another rate limit in a response, or no longer names one (limit 0, in requests per second).")
 )
--- /dev/null
+++ b/pkg/proxy/ratelimit.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+)
+
+// namedLimit returns the rate limit in requests per second that a target names in a
+// response, 0 if it names none. It reports false if the response does not tell: its
+// value is invalid, or it has none and is not the response to a request that ran.
+func (g *Gate) namedLimit(r *http.Response) (float64, bool) {
+	value := r.Header.Get(g.Names.RateLimit)
+	if value == "" {
+		return 0, r.Header.Get(g.Names.Signature) != ""
+	}
+	limit, err := strconv.ParseFloat(value, 64)
+	return limit, err == nil && limit >= 0 && !math.IsInf(limit, 0)
+}
+
+// recordLimit records the rate limit that a response of the target names.
+func (g *Gate) recordLimit(target *LocalTarget, r *http.Response) {
+	limit, ok := g.namedLimit(r)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil || g.target.ID != target.ID || limit == g.rateLimit {
+		return
+	}
+	eventRateLimit.Log(g.Logger, zap.String("target", target.ID), zap.Float64("limit", limit), zap.Float64("before", g.rateLimit))
+	g.rateLimit = limit
+}
