Keep the rate limit that a target names

Cause: slots bound what runs at the same time; nothing bounded the rate. The class: a limit that a peer states and no part of the product reads.

Change: the daemon beside the target, which all requests to it pass, grants slots at the named rate.

--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -79,6 +81,8 @@
 	serviceTime time.Duration            // moving average of the time of a request in the target
 	routeTimes  map[string]time.Duration // serviceTime by route
 	closeReason string                   // reason of every refusal once closed, empty while open
+	rate        *rate.Limiter            // of the limit that the target names, nil while it names none
+	rateTimer   *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
 }
 
 func newAdmission(slots int) *admission {
@@ -96,7 +100,7 @@
 		defer a.mu.Unlock()
 		return a.closeReason
 	}
-	if a.busy < a.slots && len(a.queue) == 0 {
+	if a.busy < a.slots && len(a.queue) == 0 && a.takeRate() {
 		a.busy++
 		a.mu.Unlock()
 		return ""
@@ -112,6 +116,7 @@
 		return ReasonQueueFull
 	}
 	a.queue = slices.Insert(a.queue, at, w)
+	a.grantLocked()
 	a.mu.Unlock()
 	return a.wait(ctx, w, maxWait)
 }
@@ -175,10 +180,11 @@
 // expectedWait returns the expected time until a slot is free for a call with n
 // calls ahead of it in the queue.
 func (a *admission) expectedWait(n int) time.Duration {
+	wait := a.rateWait(n)
 	if a.busy+n < a.slots {
-		return 0
+		return wait
 	}
-	return a.serviceTime * time.Duration(a.busy+n-a.slots+1) / time.Duration(a.slots)
+	return max(wait, a.serviceTime*time.Duration(a.busy+n-a.slots+1)/time.Duration(a.slots))
 }
 
 // release frees a slot. ran is the time that the request spent in the target,
@@ -199,11 +205,21 @@
 
 func (a *admission) releaseLocked() {
 	a.busy--
+	a.grantLocked()
+}
+
+// grantLocked grants free slots to waiting calls, as far as the rate allows it.
+func (a *admission) grantLocked() {
 	now := time.Now()
 	for len(a.queue) > 0 && a.busy < a.slots {
 		w := a.queue[0]
+		expired := now.After(w.waitUntil)
+		if !expired && !a.takeRate() {
+			a.grantAfter(a.rateWait(0))
+			return
+		}
 		a.queue = a.queue[1:]
-		if now.After(w.waitUntil) {
+		if expired {
 			w.ready <- ReasonQueueFull
 			continue
 		}
@@ -217,6 +233,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closeReason = reason
+	a.stopRateTimer()
 	for _, w := range a.queue {
 		w.ready <- reason
 	}
@@ -234,7 +251,11 @@
 func (a *admission) load() *Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &Load{
+	load := &Load{
 		Busy: a.busy, Queued: len(a.queue), Slots: a.slots, ServiceTime: a.serviceTime, Wait: a.expectedWait(len(a.queue)),
 	}
+	if a.rate != nil {
+		load.RateLimit, load.RateWait = float64(a.rate.Limit()), a.rateWait(len(a.queue))
+	}
+	return load
 }
--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balancer.go
@@ -178,16 +178,17 @@
 	if now.Before(e.WarmAt) {
 		t *= coldStartFactor
 	}
+	wait := float64(s.rateTime(freshness))
 	if occupied >= slots {
 		serviceTime := float64(s.load.ServiceTime)
 		if serviceTime == 0 {
 			serviceTime = run
 		}
-		wait := serviceTime * (occupied - slots + 1) / slots
-		t += wait
-		if !call.Inner && wait > float64(call.maxQueueWait(time.Duration(run))) {
-			t += float64(fullPenalty)
-		}
+		wait = max(wait, serviceTime*(occupied-slots+1)/slots)
+	}
+	t += wait
+	if !call.Inner && wait > float64(call.maxQueueWait(time.Duration(run))) {
+		t += float64(fullPenalty)
 	}
 	t += b.networkTime(e, s, call, freshness)
 	failures := min(s.failures, maxFailureRate)
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -91,6 +91,8 @@
 	Slots       int
 	ServiceTime time.Duration // average time of a request in the target
 	Wait        time.Duration // expected time until a slot is free, set on the target side only
+	RateLimit   float64       // requests per second that the target takes, 0 if it names no limit
+	RateWait    time.Duration // expected time until the limit allows another request
 	Uplink      float64       // KB queued or being sent on the uplink of the target's machine
 	At          time.Time     // when the report was received
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -74,7 +74,6 @@
 	leaveEnd  clock.Instant // no request is sent after it, 0 if the target is not leaving
 	downUntil clock.Instant
 	down      bool
-	rateLimit float64 // requests per second, as last named by the target, 0 if it names none
 	inFlight  map[*Call]struct{}
 	refusals  map[string]int // by reason
 }
@@ -96,7 +95,7 @@
 	}
 	g.closeLocked(ReasonNoTarget)
 	g.target, g.slots, g.conns = &t, newAdmission(t.Slots), newPool(t.Address)
-	g.leaveEnd, g.down, g.downUntil, g.rateLimit = 0, false, 0, 0
+	g.leaveEnd, g.down, g.downUntil = 0, false, 0
 }
 
 // SetDrainPeriod changes the drain period of targets that start leaving later.
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -38,7 +38,7 @@
 		finish(0)
 		return &AttemptResult{Outcome: Unknown, Reason: err.Error(), Load: g.load(slots)}
 	}
-	g.recordLimit(target, x.response)
+	g.recordLimit(target, slots, x.response)
 	return g.readResult(call, x, started, conns, finish, slots)
 }
 
