Drain a target whose responses say that it is leaving

Cause: leaving was learned from announcements only, which can be late or lost. The same class as the limit: a statement of a target that no part of the product reads.

Change: the daemon beside the target starts the drain period at the first such response, and publishes it.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -188,6 +188,7 @@
 		Names: n.platform.Headers, Config: &n.config, Versions: n.moves, Suspects: n.suspects, Uplink: uplink, Clock: n.clock,
 		DrainPeriod: s.DrainPeriod.Duration(), Logger: n.logger,
 		OnReachabilityChange: func() { n.target.refresh() },
+		OnLeaving:            func(id string) { n.target.handleLeaving(id) },
 	})
 	n.target = &targetTracker{
 		service: s.Service, address: s.TargetAddress, heartbeat: s.Heartbeat.Duration(), gate: n.gate,
--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -183,6 +183,17 @@
 	t.publish()
 }
 
+// handleLeaving starts to drain a target that says in a response that it is leaving.
+func (t *targetTracker) handleLeaving(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == nil || t.current.ID != id || t.leaving {
+		return
+	}
+	t.startLeaving()
+	t.publish()
+}
+
 // HandleUnreadable implements AnnouncementHandler.
 func (t *targetTracker) HandleUnreadable(err error) {
 	eventAnnouncementRejected.Log(t.logger, zap.Error(err))
--- a/pkg/node/target_test.go
+++ b/pkg/node/target_test.go
@@ -135,3 +135,17 @@
 	tracker.HandleAnnouncement(announcement("t", 5, 8))
 	assert.Assert(t, !tracker.state.Target.Down)
 }
+
+// TestLeavingInResponseIsPublished guards against peers that go on using a target whose
+// responses say that it is leaving, and against a heartbeat that makes it available again.
+func TestLeavingInResponseIsPublished(t *testing.T) {
+	tracker := newTrackerTest()
+	tracker.release()
+	assert.Assert(t, tracker.HandleAnnouncement(announcement("t", 5, 7)))
+	tracker.handleLeaving("other")
+	assert.Assert(t, !tracker.state.Target.Leaving, "another target was drained")
+	tracker.handleLeaving("t")
+	assert.Assert(t, tracker.state.Target.Leaving)
+	assert.Assert(t, tracker.HandleAnnouncement(announcement("t", 5, 8)))
+	assert.Assert(t, tracker.state.Target.Leaving, "a heartbeat made it available again")
+}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -23,6 +23,7 @@
 	ExpectedTarget string // ID of the target that may run the request
 	NotRun         string // set by a target that did not run the request
 	CallerService  string // service of the machine that the request comes from
+	Leaving        string // set in the responses of a target that is leaving
 	RateLimit      string // requests per second that a target takes from all machines together, in its responses
 }
 
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -60,6 +60,9 @@
 	DrainPeriod          time.Duration // from the acknowledgement that the target leaves until its last request
 	Logger               *zap.Logger
 	OnReachabilityChange func() // called when the target becomes unreachable or reachable
+	// OnLeaving is called with the ID of a target whose response says that it is
+	// leaving.
+	OnLeaving func(id string)
 }
 
 // Gate is the target side of a daemon. It checks each call, queues it for a
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -98,7 +98,7 @@
 		uplink := proxy.NewUplink(linkMbps)
 		s.gate = proxy.NewGate(proxy.GateOptions{
 			Names: proxytest.Names, Config: m.config, Versions: m, Suspects: suspects, Uplink: uplink, Clock: m.clock, DrainPeriod: testDrainPeriod,
-			Logger: zap.NewNop(), OnReachabilityChange: func() {},
+			Logger: zap.NewNop(), OnReachabilityChange: func() {}, OnLeaving: func(string) {},
 		})
 		id := string(rune('a' + i))
 		s.gate.SetTarget(proxy.LocalTarget{ID: id, Service: testService, Version: "v1", Address: s.target.Address, Slots: 2})
--- a/pkg/proxy/proxytest/target.go
+++ b/pkg/proxy/proxytest/target.go
@@ -18,7 +18,7 @@
 // Names are the header names that tests use.
 var Names = proxy.HeaderNames{
 	RequestID: "X-Request-Id", TimeLeft: "X-Time-Left", Signature: "X-Signature", ExpectedTarget: "X-Target",
-	NotRun: "X-Not-Run", CallerService: "X-Caller", RateLimit: "X-Rate-Limit",
+	NotRun: "X-Not-Run", CallerService: "X-Caller", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving",
 }
 
 // Request is a request that a target has received.
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -12,6 +12,9 @@
 	"go.uber.org/zap"
 )
 
+// leavingValue is the value of the header in the responses of a leaving target.
+const leavingValue = "1"
+
 // run sends a call that has been granted a slot to the target.
 func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission, conns *pool) *AttemptResult {
 	g.track(call, true)
@@ -39,6 +42,10 @@
 		return &AttemptResult{Outcome: Unknown, Reason: err.Error(), Load: g.load(slots)}
 	}
 	g.recordLimit(target, slots, x.response)
+	if x.response.Header.Get(g.Names.Leaving) == leavingValue {
+		g.Leave(target.ID)
+		g.OnLeaving(target.ID)
+	}
 	return g.readResult(call, x, started, conns, finish, slots)
 }
 
