Keep a target's rate limit across a restart of its daemon

A restarted daemon knows no limit until the first response of its target, and sends as many requests as the target has slots.

Cause: the limit was held by one process only.

Evidence: TestRateLimitAfterRestart counted 40 requests in 1 s at a limit of 1 a second.

Change: each call names the limit that its caller side was last told; a daemon that has had no response from its target yet keeps that one.

--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -82,6 +82,7 @@
 	routeTimes  map[string]time.Duration // serviceTime by route
 	closeReason string                   // reason of every refusal once closed, empty while open
 	rate        *rate.Limiter            // of the limit that the target names, nil while it names none
+	rateNamed   bool                     // a response of the target has told whether it names a limit
 	rateTimer   *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
 }
 
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -42,9 +42,12 @@
 
 	Target  string // ID of the chosen target
 	Version string // version of the chosen target
-	Attempt int    // number of the attempt, starting at 1
-	Retry   bool   // an earlier attempt may have reached a target
-	Inner   bool   // made by a request that runs at the target of the caller side
+	// TargetLimit is the rate limit of the chosen target in requests per second that
+	// was last reported to the caller side, 0 if none was.
+	TargetLimit float64
+	Attempt     int  // number of the attempt, starting at 1
+	Retry       bool // an earlier attempt may have reached a target
+	Inner       bool // made by a request that runs at the target of the caller side
 
 	Method string
 	URI    string // path and query as sent
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -216,6 +216,7 @@
 	arrived := time.Now()
 	target, slots, conns, reason := g.admit(call)
 	if reason == "" {
+		slots.adoptRate(call.TargetLimit)
 		reason = slots.acquire(ctx, call)
 	}
 	if reason == "" {
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -52,7 +52,7 @@
 		Target: c.Target, Route: c.Route, Service: c.Service, Kind: uint32(slices.Index(routing.Kinds, c.Kind)),
 		Priority: int32(c.Priority), ObjectiveMs: c.Objective.Milliseconds(), CallerService: c.CallerService,
 		ConfigVersion: c.ConfigVersion, Attempt: int32(c.Attempt), Repeat: c.Retry, Inner: c.Inner, LeftUs: time.Until(c.Deadline).Microseconds(),
-		CallerMbps: float32(c.CallerMbps), AgeMs: c.Age.Milliseconds(),
+		CallerMbps: float32(c.CallerMbps), AgeMs: c.Age.Milliseconds(), RateLimit: c.TargetLimit,
 	})
 }
 
@@ -83,7 +83,7 @@
 		ID: r.Header.Get(names.RequestID), Route: h.GetRoute(), Service: h.GetService(), Target: h.GetTarget(),
 		Kind: routing.Kinds[h.GetKind()], Priority: int(h.GetPriority()),
 		Objective:     time.Duration(h.GetObjectiveMs()) * time.Millisecond,
-		CallerService: h.GetCallerService(), ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Retry: h.GetRepeat(), Inner: h.GetInner(),
+		CallerService: h.GetCallerService(), ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Retry: h.GetRepeat(), Inner: h.GetInner(), TargetLimit: h.GetRateLimit(),
 		CallerMbps: float64(h.GetCallerMbps()), Age: time.Duration(h.GetAgeMs()) * time.Millisecond,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: requestBody(r),
 		Received: now, Deadline: now.Add(time.Duration(h.GetLeftUs()) * time.Microsecond),
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -271,7 +271,7 @@
 			e = i.Balancer.Choose(s.call, excludeTargets(endpoints, s.contacted))
 		}
 		if e != nil {
-			s.call.Target, s.call.Version = e.Target, e.Version
+			s.call.Target, s.call.Version, s.call.TargetLimit = e.Target, e.Version, i.Balancer.rateLimit(e.Target)
 			s.attempted[e.Target] = true
 			return e
 		}
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -44,6 +44,7 @@
 	forbiddenVersion string      // forbidden by the version policy
 	timeLeft         string      // remaining time in milliseconds that callers send
 	hideLast         atomic.Bool // the directory omits the last target side
+	hideFirst        atomic.Bool // the directory omits the first target side
 	leaving          atomic.Bool // the caller side is about to stop
 }
 
@@ -55,6 +56,9 @@
 	if m.hideLast.Load() {
 		return m.endpoints[:len(m.endpoints)-1]
 	}
+	if m.hideFirst.Load() {
+		return m.endpoints[1:]
+	}
 	return m.endpoints
 }
 
--- a/pkg/proxy/ratelimit.go
+++ b/pkg/proxy/ratelimit.go
@@ -46,6 +46,24 @@
 func (a *admission) setRate(limit float64) (before float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.rateNamed = true
+	return a.setRateLocked(limit)
+}
+
+// adoptRate sets the rate that a caller side knows from an earlier process of this
+// daemon, until the first response of the target.
+func (a *admission) adoptRate(limit float64) {
+	if !(limit >= minRateLimit) || math.IsInf(limit, 0) {
+		return // none, or not a limit that a daemon reports
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.rateNamed && a.rate == nil {
+		a.setRateLocked(limit)
+	}
+}
+
+func (a *admission) setRateLocked(limit float64) (before float64) {
 	if a.rate != nil {
 		before = float64(a.rate.Limit())
 	}
@@ -99,6 +117,16 @@
 	}
 }
 
+// rateLimit returns the rate limit that was last reported for a target, 0 if none was.
+func (b *Balancer) rateLimit(target string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.stats[target]; s != nil {
+		return s.load.RateLimit
+	}
+	return 0
+}
+
 // rateTime returns the expected wait for the rate of a target, given the weight of its
 // last report.
 func (s *targetStats) rateTime(freshness float64) time.Duration {
--- a/pkg/proxy/ratelimit_test.go
+++ b/pkg/proxy/ratelimit_test.go
@@ -44,6 +44,32 @@
 	return statuses
 }
 
+// TestRateLimitAfterRestart guards against a daemon that exceeds the limit of its target
+// after a restart, until the first response.
+func TestRateLimitAfterRestart(t *testing.T) {
+	const limit, slots = 1, 40
+	m := newMesh(t, 2)
+	limited := m.targetSides[1]
+	limited.target.Handle(rateLimited("1"))
+	for len(limited.target.Requests()) == 0 {
+		m.get("/look/1")
+	}
+	limited.target.Handle(func(r *proxytest.Request) bool {
+		time.Sleep(time.Second)
+		return rateLimited("1")(r)
+	})
+	replaced := localTarget(1, limited)
+	replaced.ID, replaced.Slots = "restarting", slots
+	limited.gate.SetTarget(replaced) // a gate keeps nothing of a target with another ID
+	replaced.ID = m.endpoints[1].Target
+	limited.gate.SetTarget(replaced)
+	m.hideFirst.Store(true)
+	before := len(limited.target.Requests())
+	m.press(slots, time.Second)
+	got := len(limited.target.Requests()) - before
+	assert.Assert(t, float64(got) <= 1.5*limit+5, "%d requests in 1 s after a restart at a limit of %d a second", got, limit)
+}
+
 // TestRateLimitOfTarget guards against a target that gets more requests than the limit
 // that it names.
 func TestRateLimitOfTarget(t *testing.T) {
