Take a refusal without an ID only as the first response of a connection

A faulty target wrote an earlier refusal once more on a kept connection.

Cause: a response that says 'not run' was accepted without the ID of the request, on any connection. The class: an answer that is attributed by its place alone.

Evidence: TestRepeatedRefusal failed for a copy without an ID; a copy with the earlier ID was skipped before as well.

Change: without the ID, only the first response on a connection counts; later ones are skipped like other late responses.

Result: TestRepeatedRefusal passes. On the product's own interface a target cannot state that a request has not run.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -82,6 +82,7 @@
 	idleSince       time.Time
 	peerIdleTimeout time.Duration // announced by the peer, 0 if unknown
 	userTimeout     time.Duration // TCP_USER_TIMEOUT of the socket
+	used            bool          // it has carried a response
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -121,7 +122,7 @@
 	header            http.Header
 	body              *Body
 	idHeader, id      string // if idHeader is set, the response must echo id in it
-	notRunHeader      string // a response with this header need not echo the ID
+	notRunHeader      string // a response with this header need not echo the ID if it is the first on its connection
 	once              bool   // it must not be sent again, so its response is worth the wait until ctx ends
 }
 
@@ -274,8 +275,10 @@
 			continue
 		}
 		stale++
+		first := !c.used
+		c.used = true
 		if request.idHeader == "" || response.Header.Get(request.idHeader) == request.id ||
-			request.notRunHeader != "" && response.Header.Get(request.notRunHeader) != "" && response.Header.Get(request.idHeader) == "" {
+			first && request.notRunHeader != "" && response.Header.Get(request.notRunHeader) != "" && response.Header.Get(request.idHeader) == "" {
 			x.response = response
 			return nil
 		}
