Refuse calls of other daemons late in a planned stop

Callers saw (report of other operators): requests that came late in the grace time of a planned stop were passed on and cut at its end, among them some that may not be repeated.

Cause: a stopping daemon refuses requests of its callers after 2.4 s, but took calls of other daemons until the end. Such calls come from daemons that missed the update, while other requests keep the process running. The class: a rule that holds on one of two ways in.

Evidence: TestLateCallsInPlannedStop: a call 3.5 s after the signal, of 5 s of grace, was sent to the target and its connection closed without a result.

Change: the daemon beside the target refuses as well from then on, truthfully as not run; the caller side takes another target.

--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -31,12 +31,16 @@
 // drain stops the daemon gracefully and waits for the requests in progress. It first
 // announces that the daemon is stopping, so that the daemon gets no roles, and
 // inboundDrain before the end of minDrain that it is leaving, so that peers send no
-// more calls. It returns the number of requests that were cut off.
+// more calls. After minDrain it refuses requests and calls, since they might not end
+// before the kill. It returns the number of requests that were cut off.
 func (n *Node) drain() int {
 	started := time.Now()
 	eventDraining.Log(n.logger, zap.Int64("callers", n.callers.Active()), zap.Int64("daemons", n.daemons.active.Load()))
 	n.leaving.Store(true)
-	refuseTimer := time.AfterFunc(minDrain, func() { n.refusing.Store(true) })
+	refuseTimer := time.AfterFunc(minDrain, func() {
+		n.refusing.Store(true)
+		n.gate.Stop()
+	})
 	defer refuseTimer.Stop()
 	n.fleet.Update(func(s *fleet.State) { s.Stopping = true })
 	leaveTimer := time.AfterFunc(minDrain-inboundDrain, func() { n.fleet.Update(func(s *fleet.State) { s.Leaving = true }) })
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -77,6 +77,7 @@
 	leaveEnd  clock.Instant // no request is sent after it, 0 if the target is not leaving
 	downUntil clock.Instant
 	down      bool
+	stopping  bool // the daemon stops soon; no call is sent anymore
 	inFlight  map[*Call]struct{}
 	refusals  map[string]int // by reason
 }
@@ -122,6 +123,14 @@
 	time.AfterFunc(wait, func() { slots.close(ReasonLeaving) })
 }
 
+// Stop refuses later calls, which might not end before the daemon does. Calls that have
+// been sent to the target go on.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping = true
+}
+
 // Close refuses all waiting and later calls.
 func (g *Gate) Close() {
 	g.mu.Lock()
@@ -180,7 +189,7 @@
 	switch {
 	case g.target == nil || g.target.ID != call.Target || g.target.Service != call.Service:
 		return nil, nil, nil, ReasonNoTarget
-	case g.leaveEnd != 0 && now >= g.leaveEnd:
+	case g.stopping, g.leaveEnd != 0 && now >= g.leaveEnd:
 		return nil, nil, nil, ReasonLeaving
 	case now < g.downUntil:
 		return nil, nil, nil, ReasonTargetDown
