Serve the calls of running requests during a planned stop

A request that still ran 2.4 s after the stop signal failed when its target made a call.

Cause: a stopping daemon refused all requests of its callers, also those that the target beside it makes for requests that the stop waits for.

--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -122,8 +122,11 @@
 		return
 	}
 	if i.Refusing() {
-		i.refuse(w, id, "stopping", defaultRetryAfter, received)
-		return
+		// A request that runs at the local target may need its calls to end.
+		if inner, _ := i.Gate.FindParent(id); !inner {
+			i.refuse(w, id, "stopping", defaultRetryAfter, received)
+			return
+		}
 	}
 	route := table.Match(r.Host, r.URL.Path)
 	if route == nil {
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -46,6 +46,7 @@
 	hideLast         atomic.Bool // the directory omits the last target side
 	hideFirst        atomic.Bool // the directory omits the first target side
 	leaving          atomic.Bool // the caller side is about to stop
+	refusing         atomic.Bool // the caller side refuses new requests
 }
 
 // Endpoints implements proxy.Directory.
@@ -117,7 +118,7 @@
 		Names: proxytest.Names, Service: "desk", Config: m.config, Directory: m, Versions: m, Recorder: m,
 		Balancer: proxy.NewBalancer(zap.NewNop()), Gate: m.targetSides[0].gate, Peers: proxy.NewPeers(),
 		Budget:  proxy.NewRetryBudget(0.2, 60, 10*time.Second, func() int { return 1 }),
-		Leaving: m.leaving.Load, Refusing: func() bool { return false }, Logger: zap.NewNop(),
+		Leaving: m.leaving.Load, Refusing: m.refusing.Load, Logger: zap.NewNop(),
 	})
 	m.caller = startCallerServer(t, ingress, ingress.ReadAhead, m.leaving.Load)
 	return m
@@ -169,6 +170,10 @@
 }
 
 func (m *mesh) request(ctx context.Context, path string, body io.Reader, length int64) result {
+	return m.requestWithID(ctx, "id-1", path, body, length)
+}
+
+func (m *mesh) requestWithID(ctx context.Context, id, path string, body io.Reader, length int64) result {
 	method := http.MethodGet
 	if body != nil {
 		method = http.MethodPost
@@ -177,7 +182,7 @@
 	assert.NilError(m.t, err)
 	r.Host = "fish.example"
 	r.ContentLength = length
-	r.Header.Set(proxytest.Names.RequestID, "id-1")
+	r.Header.Set(proxytest.Names.RequestID, id)
 	r.Header.Set(proxytest.Names.TimeLeft, m.timeLeft)
 	r.Header.Set(proxytest.Names.CallerService, "forged")
 	response, err := (&http.Transport{DisableCompression: true}).RoundTrip(r)
