Soak: limits of targets, stores cut off from many machines, late configurations

Cause: the soak had no fault that takes the store from several machines at once, no target that names a limit, and no check that a configuration is in force in time.

Change: a schedule beside that of the seed, which keeps its order of faults, in runs by hand.

--- a/test/platform/soak/machine.go
+++ b/test/platform/soak/machine.go
@@ -123,7 +123,12 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(m.settingsFile, content, 0o600)
+	// A daemon that starts meanwhile must not read half of the file.
+	next := m.settingsFile + ".next"
+	if err := os.WriteFile(next, content, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, m.settingsFile)
 }
 
 func (m *machine) proxies() []*proxy { return []*proxy{m.daemonProxy, m.fleetProxy, m.storeProxy} }
--- a/test/platform/soak/soak.go
+++ b/test/platform/soak/soak.go
@@ -28,6 +28,7 @@
 	Machines int
 	Duration time.Duration // of the fault injection
 	Moves    bool          // run moves to other versions of the targets as well
+	Overlay  bool          // limit targets and cut machines off from the store as well, and check that configurations are in force in time
 	BinDir   string
 	LogDir   string
 }
@@ -50,6 +51,8 @@
 
 	mu            sync.Mutex
 	configVersion int
+	configuredAt  time.Time // confirmation of configVersion
+	storeFaultAt  time.Time // last fault of the store
 	events        []string
 	activeFaults  map[string]bool // non-exclusive faults by name and machine
 }
@@ -81,6 +84,10 @@
 	}
 	var moves sync.WaitGroup
 	done := make(chan struct{})
+	if o.Overlay {
+		moves.Go(func() { s.runOverlay(rand.New(rand.NewPCG(o.Seed, 2)), done) })
+		moves.Go(func() { s.checkLateConfigurations(done) })
+	}
 	if o.Moves {
 		moves.Go(func() { s.runMoves(rand.New(rand.NewPCG(o.Seed, 1)), done) })
 	}
@@ -116,6 +123,15 @@
 		})
 	}
 	s.store.Put("config", "main", map[string]any{"version": s.configVersion, "resources": resources})
+	s.configuredAt = time.Now()
+}
+
+// latestConfirmed returns the latest version of the configuration and when the store
+// confirmed it.
+func (s *soak) latestConfirmed() (int, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configVersion, s.configuredAt
 }
 
 func (s *soak) latestConfigVersion() int {
--- a/test/platform/soak/target.go
+++ b/test/platform/soak/target.go
@@ -50,6 +50,11 @@
 	sequence     atomic.Int64
 	heartbeatMu  sync.Mutex // one heartbeat at a time
 	stop         context.CancelFunc
+
+	limited      atomic.Bool // names a limit in its responses
+	limitMu      sync.Mutex
+	limitNamedAt time.Time   // when a response first named it
+	arrivals     []time.Time // of requests since then, within limitWindow
 }
 
 // startTarget listens on an address and starts to send heartbeats.
@@ -154,6 +159,7 @@
 	if ackedAt := t.drainAckedAt.Load(); ackedAt != 0 && time.Since(time.Unix(0, ackedAt)) > drainPeriod+drainTolerance {
 		t.history.addViolation("drain: request %s reached %s %s after the target's draining was acknowledged", id, t.id, time.Since(time.Unix(0, ackedAt)))
 	}
+	t.checkLimit(id)
 	if t.undisturbed() {
 		t.history.checkVersion(id, t.version)
 	}
@@ -177,6 +183,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(names.RequestID, id)
+	t.nameLimit(names.RateLimit, w.Header())
 	w.Header().Set(names.Signature, signature(id))
 	if (injected.fail || t.history.isFaulty(t.version)) && rand.Float64() < errorShare {
 		w.WriteHeader(http.StatusInternalServerError)
