--- a/test/platform/soak/overlay.go
+++ b/test/platform/soak/overlay.go
@@ -56,6 +56,7 @@
 		}
 	}
 	s.logEvent("store cut off from %d machines %s", len(cut), d)
+	s.configure()
 	time.Sleep(d)
 	for _, m := range cut {
 		m.storeProxy.set(linkState{})
