Start the test of a planned stop when all targets are known

The requests of the test then fill the first target.

Evidence: on a scratch copy with delays of 0.2 to 1.4 s, 2 of 12 runs failed with the same message; the refused requests had tried one target, 'queue_full', and knew no other.

Change: the test waits until every machine knows all targets as ready; what it asserts is as before.

--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"nutmegstand.example/nutmegstand/pkg/fleetview"
 	"nutmegstand.example/nutmegstand/pkg/node"
 	"nutmegstand.example/nutmegstand/pkg/proxy/proxytest"
 	"nutmegstand.example/nutmegstand/platform"
@@ -82,6 +84,34 @@
 	}
 }
 
+// awaitTargets waits until every machine knows the targets of all machines as ready.
+func (d *deployment) awaitTargets() {
+	d.t.Helper()
+	for _, m := range d.machines {
+		eventually(d.t, "all targets are known", recoveryTimeout, func() bool { return m.readyTargets() == len(d.machines) })
+	}
+}
+
+// readyTargets returns the number of targets that are ready in the view of the machine.
+func (m *machine) readyTargets() int {
+	response, err := http.Get("http://" + m.settings.Listen.Metrics + fleetview.Path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	var view fleetview.View
+	if json.NewDecoder(response.Body).Decode(&view) != nil {
+		return 0
+	}
+	ready := 0
+	for _, member := range view.Members {
+		if member.Target != nil && member.Target.State == fleetview.TargetReady {
+			ready++
+		}
+	}
+	return ready
+}
+
 // stop stops all daemons concurrently.
 func (d *deployment) stop() {
 	for _, m := range d.machines {
@@ -327,6 +357,7 @@
 // gracefully.
 func TestPlannedStop(t *testing.T) {
 	d := newDeployment(t, 3)
+	d.awaitTargets()
 	for _, m := range d.machines {
 		m.target.Handle(func(r *proxytest.Request) bool {
 			time.Sleep(300 * time.Millisecond)
