Fetch a configuration on a new connection after a failure

Cause: a standby read the version 0.5 s after the loss, but its peers asked it and each other on open connections that no longer delivered, 0.7 s for each of three attempts, each at another peer and so on another such connection.

Change: the first request for a version may take 0.3 s; the next ones open a connection of their own. A peer is asked again if no other has the version.

--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -19,9 +20,12 @@
 	// historyLength is the number of past configurations kept as bases for
 	// deltas. It covers a burst of changes that a peer cannot fetch one by one.
 	historyLength = 32
-	// maxFetchAttempts is the number of peers from which one version is requested. The
-	// connection to the first may no longer deliver, or the peer has just been lost.
+	// maxFetchAttempts is the number of requests for one version that may fail. The
+	// connection to the first peer may no longer deliver, or the peer has just been lost.
 	maxFetchAttempts = 3
+	// pooledFetchTimeout bounds the first request, which uses an open connection. Later
+	// ones open a new connection, and syncTimeout bounds them.
+	pooledFetchTimeout = 300 * time.Millisecond
 	// maxConfigBytes bounds the decompressed size of a received configuration.
 	maxConfigBytes = 64 << 20
 )
@@ -136,31 +140,56 @@
 }
 
 // fetchConfig fetches newer configurations from peers until none is left or
-// maxFetchAttempts fetches have failed.
+// maxFetchAttempts fetches have failed. Peers that failed are asked again only if no
+// other has the version.
 func (f *Fleet) fetchConfig() {
 	if !f.fetching.TryLock() {
 		return // the running fetch checks for newer versions before it returns
 	}
 	defer f.fetching.Unlock()
 	failed := make(map[string]bool)
-	for len(failed) < maxFetchAttempts {
+	for failures := 0; failures < maxFetchAttempts; {
 		peer := f.newestPeer(failed)
+		if peer == nil && failures > 0 {
+			clear(failed)
+			peer = f.newestPeer(failed)
+		}
 		if peer == nil {
 			return
 		}
-		if !f.fetchFrom(peer) {
+		if !f.fetchFrom(peer, failures > 0) {
 			failed[peer.Name] = true
+			failures++
 		}
 	}
 }
 
+// requestConfig requests the configuration of a peer, on a new connection if reconnect
+// is set.
+func (f *Fleet) requestConfig(address string, held uint64, reconnect bool) (*pb.ConfigReply, error) {
+	timeout := pooledFetchTimeout
+	if reconnect {
+		timeout = syncTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request := &pb.ConfigRequest{Held: held}
+	if !reconnect {
+		return f.Peers.Fleet(ctx, address).Config(ctx, request)
+	}
+	client, disconnect, err := f.Peers.DialFleet(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer disconnect()
+	return client.Config(ctx, request)
+}
+
 // fetchFrom fetches and applies the configuration of a peer. It reports whether a
 // newer configuration was applied.
-func (f *Fleet) fetchFrom(peer *Member) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
-	defer cancel()
+func (f *Fleet) fetchFrom(peer *Member, reconnect bool) bool {
 	current := f.Options.Config.Load()
-	reply, err := f.Peers.Fleet(ctx, peer.State.SyncAddress).Config(ctx, &pb.ConfigRequest{Held: current.Version()})
+	reply, err := f.requestConfig(peer.State.SyncAddress, current.Version(), reconnect)
 	if err == nil && reply.GetVersion() <= current.Version() {
 		return false
 	}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -110,6 +110,16 @@
 	return pb.NewDRPCFleetClient(p.pool.Get(ctx, address, p.dialPooled))
 }
 
+// DialFleet returns a client of the Fleet service of the daemon at address on a
+// connection of its own, and a function that closes the connection.
+func (p *Peers) DialFleet(ctx context.Context, address string) (pb.DRPCFleetClient, func(), error) {
+	conn, err := p.Dial(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return pb.NewDRPCFleetClient(conn), func() { _ = conn.Close() }, nil
+}
+
 // Client returns a client of the Mesh service of the daemon at address. The
 // connection is opened or reused when a method is called; if the dial fails, the
 // method returns a DialError.
