Silence connections of the fetch test by the dial function that link takes

Cause: the test had a TCP proxy of its own; link.NewPeers already takes the function that opens connections.

--- a/pkg/fleet/fetch_test.go
+++ b/pkg/fleet/fetch_test.go
@@ -1,15 +1,17 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
@@ -34,66 +36,45 @@
 	}
 }
 
-// silenceable forwards connections to an address until they are silenced. Later
-// connections work.
-type silenceable struct {
-	net.Listener
+// dialer opens connections that can be silenced. Later connections work.
+type dialer struct {
 	mu    sync.Mutex
-	conns []net.Conn
-	muted map[net.Conn]bool
+	conns []*silentConn
 }
 
-func forward(t *testing.T, address string) *silenceable {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	s := &silenceable{Listener: listener, muted: make(map[net.Conn]bool)}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", address)
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.conns = append(s.conns, client)
-			s.mu.Unlock()
-			go s.copy(server, client, client)
-			go s.copy(client, server, client)
-		}
-	}()
-	return s
+func (d *dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := link.DialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := &silentConn{Conn: conn}
+	d.conns = append(d.conns, c)
+	return c, nil
 }
 
-// copy copies from one side to the other, and drops the bytes of a muted connection.
-func (s *silenceable) copy(to io.Writer, from io.Reader, client net.Conn) {
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		muted := s.muted[client]
-		s.mu.Unlock()
-		if !muted {
-			_, _ = to.Write(buffer[:n])
-		}
+// silence silences the open connections and returns their number.
+func (d *dialer) silence() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.silent.Store(true)
 	}
+	return len(d.conns)
+}
+
+// silentConn drops what is written once it is silent.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
 }
 
-// mute silences the open connections and returns their number.
-func (s *silenceable) mute() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, client := range s.conns {
-		s.muted[client] = true
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
 	}
-	return len(s.conns)
+	return c.Conn.Write(p)
 }
 
 // TestFetchOverSilentConnection guards against a daemon that stays behind because its
@@ -101,15 +82,16 @@
 func TestFetchOverSilentConnection(t *testing.T) {
 	const bound = time.Second
 	holder := startDaemon(t, "b", 1)
-	path := forward(t, holder.address)
 	receiver := startDaemon(t, "a", 1)
-	member := NewTable("b", 1, State{Zone: "z", SyncAddress: path.Addr().String()}, receiver.table.clock)
+	connections := &dialer{}
+	receiver.Peers = link.NewPeers(connections.dial) // the daemon has no peer yet
+	member := NewTable("b", 1, State{Zone: "z", SyncAddress: holder.address}, receiver.table.clock)
 	receiver.merge([]*pb.MemberState{member.localState()}, nil)
 	holder.ApplyConfig(&routing.Config{Version: 1})
 	receiver.table.recordConfigVersion("b", 1)
 	receiver.fetchConfig()
 	assert.Equal(t, receiver.config.Load().Version(), uint64(1))
-	assert.Assert(t, path.mute() > 0)
+	assert.Assert(t, connections.silence() > 0)
 	holder.ApplyConfig(&routing.Config{Version: 2})
 	receiver.table.recordConfigVersion("b", 2)
 	started := time.Now()
