Write no response after one that broke off

Callers saw: a caller that sends further requests before the first is answered could get a 200 whose missing bytes are those of the next response, framed as whole.

Cause: when a response breaks off, its connection is cancelled and then the turn of the next response comes; that one waited for either, and with both there the choice was random. The class: an answer that is attributed by its place alone, as with the repeated refusal.

Change: after the wait a cancelled connection always wins.

--- a/pkg/proxy/callerexchange.go
+++ b/pkg/proxy/callerexchange.go
@@ -93,10 +93,13 @@
 	}
 	select {
 	case <-x.turn:
-		return nil
 	case <-x.conn.ctx.Done():
+	}
+	// Both are done if the response before broke off.
+	if x.conn.ctx.Err() != nil {
 		return errCallerGone
 	}
+	return nil
 }
 
 // prepareBody decides how the end of the body is marked and whether the connection
