Review case 1: an order is run with a part of its body

Rule: UNASKED, a request is run with its body changed. Events: 4 of 10 upstreams turn slow (x 12, 9 s); the target side refuses long chunked orders after a wait, and the next attempt goes on in the middle of the body.

--- /dev/null
+++ b/review/case1/main.go
@@ -0,0 +1,116 @@
+//go:build review
+
+// Command case1 sends long requests in chunks to a small deployment in which some
+// upstreams turn slow, and compares the bodies that the upstreams run with those that
+// the clients sent.
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"nutmegstand.example/nutmegstand/review/harness"
+)
+
+const (
+	service       = "orderdesk"
+	machines      = 10
+	slowMachines  = 4  // srv_slow: share 0.4 at most
+	slowFactor    = 12 // srv_slow: x 12 at most
+	slowTime      = 9 * time.Second
+	workTime      = 290 * time.Millisecond
+	bodyBytes     = 160 << 10
+	sendInterval  = 8 * time.Millisecond
+	warmupTime    = 6 * time.Second
+	settleTime    = 5 * time.Second
+	requestBudget = 2 * time.Second
+)
+
+// ledger compares what was run with what was sent.
+type ledger struct {
+	mu   sync.Mutex
+	sent map[string]string // SHA-256 of the body by id
+	bad  int
+	runs int
+}
+
+func main() { harness.Main(run) }
+
+func run(record *harness.Record) (bool, error) {
+	services := make([]string, machines)
+	for i := range services {
+		services[i] = service
+	}
+	c, err := harness.NewCluster(record, services...)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close()
+	c.PutConfig(7, harness.Route{
+		Name: "place-order", Prefix: "/pufi791/", Kind: "non_idempotent", Service: service,
+		TimeoutMS: 1200, TargetLatencyMS: 800, Priority: 1, MaxAttempts: 2,
+	})
+	if err := c.StartAll(); err != nil {
+		return false, err
+	}
+	l := &ledger{sent: make(map[string]string)}
+	for _, m := range c.Machines {
+		m.Upstream.SetWork(work(1))
+		m.Upstream.SetBegin(l.check(record))
+	}
+	time.Sleep(settleTime)
+	var sending sync.WaitGroup
+	send := func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sendInterval) {
+			m := c.Machines[rand.IntN(len(c.Machines))]
+			sending.Go(func() { m.Send(l.request()) })
+		}
+	}
+	send(warmupTime)
+	if harness.Trouble() {
+		record.Add("%d of %d upstreams turn slow: their work takes %d times as long", slowMachines, machines, slowFactor)
+		for _, m := range c.Machines[:slowMachines] {
+			m.Upstream.SetWork(work(slowFactor))
+		}
+	}
+	send(slowTime)
+	sending.Wait()
+	record.Add("%d requests sent, %d runs, %d runs with a changed body", len(l.sent), l.runs, l.bad)
+	return l.bad == 0, nil
+}
+
+func work(factor float64) func(*http.Request) time.Duration {
+	return func(*http.Request) time.Duration {
+		return time.Duration(factor * (0.7 + 0.6*rand.Float64()) * float64(workTime))
+	}
+}
+
+func (l *ledger) request() harness.Request {
+	body := make([]byte, bodyBytes)
+	for i := range body {
+		body[i] = byte(rand.Uint32())
+	}
+	sum := sha256.Sum256(body)
+	q := harness.Request{ID: harness.NewID(), Method: http.MethodPost, Path: "/pufi791/2f", Body: body, Chunked: true, Budget: requestBudget}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[q.ID] = hex.EncodeToString(sum[:])
+	return q
+}
+
+func (l *ledger) check(record *harness.Record) func(*harness.Upstream, harness.Run) bool {
+	return func(_ *harness.Upstream, run harness.Run) bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.runs++
+		if sum := l.sent[run.ID]; sum != run.Sum {
+			l.bad++
+			record.Add("UNASKED: %s runs %s with a body of %d bytes, the client sent %d bytes with SHA-256 %s", run.Instance, run.ID, run.Length, bodyBytes, sum[:min(16, len(sum))])
+		}
+		return true
+	}
+}
