--- a/review/case1/main.go
+++ b/review/case1/main.go
@@ -79,6 +79,8 @@
 	}
 	send(slowTime)
 	sending.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	record.Add("%d requests sent, %d runs, %d runs with a changed body", len(l.sent), l.runs, l.bad)
 	return l.bad == 0, nil
 }
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -25,6 +25,10 @@
 	Body             []byte
 	Chunked          bool // the body is sent in chunks
 	Budget           time.Duration
+
+	// The client pauses for Pause after it has sent PauseAt bytes of the body.
+	PauseAt int
+	Pause   time.Duration
 }
 
 // Response is what the client got. Status is 0 if there was no answer.
@@ -38,6 +42,14 @@
 // chunks is a body of unknown length, which the client sends in chunks.
 type chunks struct{ io.Reader }
 
+// pause is an empty reader that waits before it ends.
+type pause struct{ d time.Duration }
+
+func (p *pause) Read([]byte) (int, error) {
+	time.Sleep(p.d)
+	return 0, io.EOF
+}
+
 // Send sends a request to the outbound address of a machine on a new connection.
 func (m *Machine) Send(q Request) Response {
 	var body io.Reader = http.NoBody
@@ -45,6 +57,9 @@
 		body = bytes.NewReader(q.Body)
 		if q.Chunked {
 			body = chunks{body}
+			if q.Pause > 0 {
+				body = chunks{io.MultiReader(bytes.NewReader(q.Body[:q.PauseAt]), &pause{q.Pause}, bytes.NewReader(q.Body[q.PauseAt:]))}
+			}
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), q.Budget+300*time.Millisecond)
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -55,6 +55,7 @@
 	// begin is called when a request begins to run. It returns false if the upstream
 	// has crashed.
 	begin func(u *Upstream, run Run) bool
+	early func(r *http.Request) bool
 }
 
 var upstreamCount atomic.Int64
@@ -112,6 +113,14 @@
 	u.begin = begin
 }
 
+// SetEarly sets the function that decides whether a request is rejected before its body
+// has been read.
+func (u *Upstream) SetEarly(early func(r *http.Request) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.early = early
+}
+
 // Acknowledged reports whether a ping has been confirmed.
 func (u *Upstream) Acknowledged() bool { return u.acked.Load() }
 
@@ -203,6 +212,16 @@
 		u.reject(w, id, http.StatusMisdirectedRequest)
 		return
 	}
+	u.mu.Lock()
+	early := u.early
+	u.mu.Unlock()
+	if early != nil && early(r) {
+		controller := http.NewResponseController(w)
+		_ = controller.EnableFullDuplex() // lets the response leave before the body is in
+		u.reject(w, id, http.StatusServiceUnavailable)
+		_ = controller.Flush()
+		return
+	}
 	if u.waiting.Add(1) > Slots+QueueLength {
 		u.waiting.Add(-1)
 		u.reject(w, id, http.StatusServiceUnavailable)
