--- a/review/case2/main.go
+++ b/review/case2/main.go
@@ -1,17 +1,17 @@
 //go:build review
 
-// Command case2 sends a request that crashes each upstream that begins to run it again
-// and again, and counts how often it still reaches upstreams after its third crash.
+// Command case2 sends long requests in chunks to a small deployment in which some
+// upstreams reject long requests before they are in, and compares the bodies that the
+// upstreams run with those that the clients sent.
 package main
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"nutmegstand.example/nutmegstand/review/harness"
@@ -20,29 +20,26 @@
 const (
 	service       = "orderdesk"
 	machines      = 10
+	earlyMachines = 6    // garble: share 0.6 at most
+	earlyShare    = 0.05 // garble: x 0.05 at most
+	troubleTime   = 5 * time.Second
+	troubles      = 4 // times that the disruption comes
+	troublePause  = 3 * time.Second
 	workTime      = 100 * time.Millisecond
+	bodyBytes     = 120_000
+	pauseAt       = 60_000 // bytes that a client sends before it pauses
+	pause         = 150 * time.Millisecond
+	sendInterval  = 10 * time.Millisecond
 	settleTime    = 5 * time.Second
-	playTime      = 30 * time.Second
-	sendInterval  = 50 * time.Millisecond
-	poisonPause   = time.Second     // between two sendings of the request that crashes upstreams
-	restartDelay  = 3 * time.Second // the upstream is back after some seconds
-	stableWindow  = 3 * time.Second // stable_window_ms
-	crashes       = 3               // crashes that the rule allows before the count starts
-	maxRetries    = 3               // retries that the rule allows after that
-	requestBudget = 1500 * time.Millisecond
-	poisonPath    = "/lohu930/poison"
+	requestBudget = 2 * time.Second
 )
 
-// poison is the body of the request that crashes upstreams.
-var poison = []byte(`{"species":"discus","boxes":"\u0000"}`)
-
-type judge struct {
-	mu        sync.Mutex
-	crashed   int
-	thirdAt   time.Time
-	late      map[string]bool // attempts that reached an upstream later than allowed
-	lateRuns  int
-	poisonSum string
+// ledger compares what was run with what was sent.
+type ledger struct {
+	mu   sync.Mutex
+	sent map[string]string // SHA-256 of the body by id
+	bad  int
+	runs int
 }
 
 func main() { harness.Main(run) }
@@ -58,68 +55,67 @@
 	}
 	defer c.Close()
 	c.PutConfig(7, harness.Route{
-		Name: "stock-look", Prefix: "/lohu930/", Kind: "idempotent", Service: service,
-		TimeoutMS: 1500, TargetLatencyMS: 600, Priority: 2, MaxAttempts: 2,
+		Name: "place-order", Prefix: "/pufi791/", Kind: "non_idempotent", Service: service,
+		TimeoutMS: 1200, TargetLatencyMS: 800, Priority: 1, MaxAttempts: 2,
 	})
 	if err := c.StartAll(); err != nil {
 		return false, err
 	}
-	sum := sha256.Sum256(poison)
-	j := &judge{late: make(map[string]bool), poisonSum: hex.EncodeToString(sum[:])}
-	for _, m := range c.Machines {
+	l := &ledger{sent: make(map[string]string)}
+	var early atomic.Bool
+	for i, m := range c.Machines {
 		m.Upstream.SetWork(func(*http.Request) time.Duration { return workTime })
-		m.Upstream.SetBegin(j.begin(record))
+		m.Upstream.SetBegin(l.check(record))
+		if i < earlyMachines {
+			m.Upstream.SetEarly(func(*http.Request) bool { return early.Load() && rand.Float64() < earlyShare })
+		}
 	}
 	time.Sleep(settleTime)
-	// LENGTH=1 sends the same body with a length in place of chunks.
-	chunked := os.Getenv("LENGTH") != "1"
 	var sending sync.WaitGroup
-	nextPoison := time.Now()
-	for end := time.Now().Add(playTime); time.Now().Before(end); time.Sleep(sendInterval) {
-		m := c.Machines[rand.IntN(len(c.Machines))]
-		q := harness.Request{ID: harness.NewID(), Method: http.MethodPost, Path: "/lohu930/2f", Budget: requestBudget}
-		if time.Now().After(nextPoison) {
-			q.Path, q.Body, q.Chunked = poisonPath, poison, chunked
-			nextPoison = time.Now().Add(poisonPause)
-		} else {
-			q.Body, q.Chunked = []byte(fmt.Sprintf(`{"query":%d}`, rand.Uint32())), chunked
+	send := func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sendInterval) {
+			m := c.Machines[rand.IntN(len(c.Machines))]
+			sending.Go(func() { m.Send(l.request()) })
 		}
-		sending.Go(func() { m.Send(q) })
+	}
+	for range troubles {
+		send(troublePause)
+		if harness.Trouble() {
+			record.Add("%d of %d upstreams reject %g of the long requests before they are in", earlyMachines, machines, earlyShare)
+			early.Store(true)
+		}
+		send(troubleTime)
+		early.Store(false)
 	}
 	sending.Wait()
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	record.Add("%d crashes; later than %s after the third crash %d attempts of the request reached upstreams, in %d runs", j.crashed, stableWindow, len(j.late), j.lateRuns)
-	return len(j.late) <= maxRetries, nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	record.Add("%d requests sent, %d runs, %d runs with a changed body", len(l.sent), l.runs, l.bad)
+	return l.bad == 0, nil
 }
 
-// begin crashes the upstream if it begins to run the poison request.
-func (j *judge) begin(record *harness.Record) func(*harness.Upstream, harness.Run) bool {
-	return func(u *harness.Upstream, run harness.Run) bool {
-		if run.Path != poisonPath || run.Sum != j.poisonSum {
-			return true
-		}
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		if !j.thirdAt.IsZero() && time.Since(j.thirdAt) > stableWindow {
-			j.late[run.ID] = true
-			j.lateRuns++
-			record.Add("BUDGET: %s reaches %s %.1f s after the third crash", run.ID, run.Instance, time.Since(j.thirdAt).Seconds())
-		}
-		if !harness.Trouble() {
-			return true
-		}
-		j.crashed++
-		if j.crashed == crashes {
-			j.thirdAt = time.Now()
+func (l *ledger) request() harness.Request {
+	body := make([]byte, bodyBytes)
+	for i := range body {
+		body[i] = byte(rand.Uint32())
+	}
+	sum := sha256.Sum256(body)
+	q := harness.Request{ID: harness.NewID(), Method: http.MethodPost, Path: "/pufi791/2f", Body: body, Chunked: true, Budget: requestBudget, PauseAt: pauseAt, Pause: pause}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[q.ID] = hex.EncodeToString(sum[:])
+	return q
+}
+
+func (l *ledger) check(record *harness.Record) func(*harness.Upstream, harness.Run) bool {
+	return func(_ *harness.Upstream, run harness.Run) bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.runs++
+		if sum := l.sent[run.ID]; sum != run.Sum {
+			l.bad++
+			record.Add("UNASKED: %s runs %s with a body of %d bytes, the client sent %d bytes with SHA-256 %s", run.Instance, run.ID, run.Length, bodyBytes, sum[:min(16, len(sum))])
 		}
-		record.Add("%s crashes at %s, crash %d", run.Instance, run.ID, j.crashed)
-		go u.Crash()
-		time.AfterFunc(restartDelay, func() {
-			if err := u.Machine().StartUpstream(); err != nil {
-				record.Add("upstream of %s does not start: %v", u.Machine().Name, err)
-			}
-		})
-		return false
+		return true
 	}
 }
--- a/review/case4/main.go
+++ b/review/case4/main.go
@@ -1,17 +1,16 @@
 //go:build review
 
-// Command case4 sends long requests in chunks to a small deployment in which some
-// upstreams reject long requests before they are in, and compares the bodies that the
-// upstreams run with those that the clients sent.
+// Command case4 kills all daemons of a small deployment just after one of them has
+// confirmed that an upstream leaves, and counts the requests that reach this upstream
+// later than the drain time allows.
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"nutmegstand.example/nutmegstand/review/harness"
@@ -20,26 +19,22 @@
 const (
 	service       = "orderdesk"
 	machines      = 10
-	earlyMachines = 6    // garble: share 0.6 at most
-	earlyShare    = 0.05 // garble: x 0.05 at most
-	troubleTime   = 5 * time.Second
-	troubles      = 4 // times that the disruption comes
-	troublePause  = 3 * time.Second
 	workTime      = 100 * time.Millisecond
-	bodyBytes     = 120_000
-	pauseAt       = 60_000 // bytes that a client sends before it pauses
-	pause         = 150 * time.Millisecond
-	sendInterval  = 10 * time.Millisecond
-	settleTime    = 5 * time.Second
-	requestBudget = 2 * time.Second
+	settleTime    = 6 * time.Second
+	sendInterval  = 20 * time.Millisecond
+	killDelay     = 200 * time.Millisecond // from the confirmation to the kill
+	downTime      = 1200 * time.Millisecond
+	pingDelay     = 3 * time.Second // by which the last ping arrives late
+	stayTime      = 9 * time.Second // from the confirmation until the upstream exits
+	stableWindow  = 3 * time.Second // stable_window_ms
+	requestBudget = 1500 * time.Millisecond
 )
 
-// ledger compares what was run with what was sent.
-type ledger struct {
-	mu   sync.Mutex
-	sent map[string]string // SHA-256 of the body by id
-	bad  int
-	runs int
+type judge struct {
+	mu      sync.Mutex
+	leaving string    // upstream that leaves
+	from    time.Time // later arrivals break the rule
+	late    int
 }
 
 func main() { harness.Main(run) }
@@ -55,66 +50,102 @@
 	}
 	defer c.Close()
 	c.PutConfig(7, harness.Route{
-		Name: "place-order", Prefix: "/pufi791/", Kind: "non_idempotent", Service: service,
-		TimeoutMS: 1200, TargetLatencyMS: 800, Priority: 1, MaxAttempts: 2,
+		Name: "stock-look", Prefix: "/lohu930/", Kind: "idempotent", Service: service,
+		TimeoutMS: 1500, TargetLatencyMS: 600, Priority: 2, MaxAttempts: 2,
 	})
 	if err := c.StartAll(); err != nil {
 		return false, err
 	}
-	l := &ledger{sent: make(map[string]string)}
-	var early atomic.Bool
-	for i, m := range c.Machines {
+	j := &judge{}
+	for _, m := range c.Machines {
 		m.Upstream.SetWork(func(*http.Request) time.Duration { return workTime })
-		m.Upstream.SetBegin(l.check(record))
-		if i < earlyMachines {
-			m.Upstream.SetEarly(func(*http.Request) bool { return early.Load() && rand.Float64() < earlyShare })
-		}
+		m.Upstream.SetBegin(j.begin(record))
 	}
 	time.Sleep(settleTime)
+	stop := make(chan struct{})
 	var sending sync.WaitGroup
-	send := func(d time.Duration) {
-		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sendInterval) {
-			m := c.Machines[rand.IntN(len(c.Machines))]
-			sending.Go(func() { m.Send(l.request()) })
+	sending.Go(func() { send(c, stop, &sending) })
+	defer sending.Wait()
+	defer close(stop)
+	time.Sleep(time.Second)
+
+	u := c.Machines[0].Upstream
+	// The network delays the last ping of the upstream, which it sends before the
+	// DELETE.
+	late := time.After(pingDelay)
+	u.StopPings()
+	if !u.Leave() {
+		return false, errors.New("the DELETE was not confirmed")
+	}
+	confirmed := time.Now()
+	inTouch := confirmed.Add(harness.DrainPeriod)
+	if harness.Trouble() {
+		time.Sleep(killDelay)
+		started, err := restartAll(c)
+		if err != nil {
+			return false, err
+		}
+		inTouch = started.Add(stableWindow)
+	}
+	j.mu.Lock()
+	j.leaving, j.from = u.ID, inTouch
+	j.mu.Unlock()
+	<-late
+	record.Add("the delayed ping arrives")
+	u.Ping("ready")
+	time.Sleep(time.Until(confirmed.Add(stayTime)))
+	u.Crash()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	record.Add("%d requests of machines in touch reached %s later than %s after its DELETE was confirmed", j.late, u.ID, harness.DrainPeriod)
+	return j.late == 0, nil
+}
+
+// restartAll kills all daemons at once and starts them again. It returns when the last
+// of them was ready.
+func restartAll(c *harness.Cluster) (time.Time, error) {
+	for _, m := range c.Machines {
+		if err := m.Signal(syscall.SIGKILL); err != nil {
+			return time.Time{}, err
 		}
 	}
-	for range troubles {
-		send(troublePause)
-		if harness.Trouble() {
-			record.Add("%d of %d upstreams reject %g of the long requests before they are in", earlyMachines, machines, earlyShare)
-			early.Store(true)
+	for _, m := range c.Machines {
+		if !m.AwaitExit(time.Second) {
+			return time.Time{}, errors.New("a daemon does not end")
 		}
-		send(troubleTime)
-		early.Store(false)
 	}
-	sending.Wait()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	record.Add("%d requests sent, %d runs, %d runs with a changed body", len(l.sent), l.runs, l.bad)
-	return l.bad == 0, nil
+	time.Sleep(downTime)
+	for _, m := range c.Machines {
+		if err := m.Start(); err != nil {
+			return time.Time{}, err
+		}
+	}
+	return time.Now(), nil
 }
 
-func (l *ledger) request() harness.Request {
-	body := make([]byte, bodyBytes)
-	for i := range body {
-		body[i] = byte(rand.Uint32())
+// send sends requests to random machines until stop is closed.
+func send(c *harness.Cluster, stop chan struct{}, sending *sync.WaitGroup) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(sendInterval):
+		}
+		m := c.Machines[rand.IntN(len(c.Machines))]
+		q := harness.Request{ID: harness.NewID(), Method: http.MethodGet, Path: "/lohu930/2f", Budget: requestBudget}
+		sending.Go(func() { m.Send(q) })
 	}
-	sum := sha256.Sum256(body)
-	q := harness.Request{ID: harness.NewID(), Method: http.MethodPost, Path: "/pufi791/2f", Body: body, Chunked: true, Budget: requestBudget, PauseAt: pauseAt, Pause: pause}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.sent[q.ID] = hex.EncodeToString(sum[:])
-	return q
 }
 
-func (l *ledger) check(record *harness.Record) func(*harness.Upstream, harness.Run) bool {
-	return func(_ *harness.Upstream, run harness.Run) bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.runs++
-		if sum := l.sent[run.ID]; sum != run.Sum {
-			l.bad++
-			record.Add("UNASKED: %s runs %s with a body of %d bytes, the client sent %d bytes with SHA-256 %s", run.Instance, run.ID, run.Length, bodyBytes, sum[:min(16, len(sum))])
+func (j *judge) begin(record *harness.Record) func(*harness.Upstream, harness.Run) bool {
+	return func(u *harness.Upstream, run harness.Run) bool {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		// Requests that were sent before the machines were in touch may still arrive
+		// within their time budget.
+		if u.ID == j.leaving && time.Since(j.from) > requestBudget {
+			j.late++
+			record.Add("DRAIN: %s reaches %s", run.ID, u.ID)
 		}
 		return true
 	}
