--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -39,6 +40,7 @@
 	templateFile = "deploy/settings.json"
 	startTimeout = 15 * time.Second
 	stopTimeout  = 8 * time.Second
+	runTimeout   = 110 * time.Second // the longest time that a case may take is 120 s
 )
 
 // Ports of each machine. Every machine has its own loopback address.
@@ -59,6 +61,7 @@
 	Record   *Record
 
 	dir      string
+	closing  sync.Once
 	cleanups []func()
 }
 
@@ -102,6 +105,7 @@
 			Service: service, cluster: c,
 		})
 	}
+	go c.exitWhenStopped()
 	return c, nil
 }
 
@@ -130,8 +134,24 @@
 	return true
 }
 
+// exitWhenStopped ends the case and all its processes when it gets a signal to stop or
+// takes too long.
+func (c *Cluster) exitWhenStopped() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-stop:
+	case <-time.After(runTimeout):
+	}
+	c.Record.Add("the case was stopped")
+	c.Close()
+	os.Exit(exitNoRun)
+}
+
 // Close ends all processes that the cluster started, and its stand-ins.
-func (c *Cluster) Close() {
+func (c *Cluster) Close() { c.closing.Do(c.close) }
+
+func (c *Cluster) close() {
 	var stopping sync.WaitGroup
 	for _, m := range c.Machines {
 		stopping.Go(func() { m.Kill() })
