--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -284,18 +284,6 @@
 	}
 }
 
-// Exited reports whether the daemon has ended.
-func (m *Machine) Exited() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	select {
-	case <-m.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // AwaitExit waits until the daemon has ended.
 func (m *Machine) AwaitExit(timeout time.Duration) bool {
 	m.mu.Lock()
@@ -344,12 +332,6 @@
 	return nil
 }
 
-// Log returns what a daemon has written.
-func (m *Machine) Log() string {
-	content, _ := os.ReadFile(filepath.Join(m.cluster.dir, m.Name+".log"))
-	return string(content)
-}
-
 // Route describes one route of the configuration.
 type Route struct {
 	Name, Prefix, Kind, Service string
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -60,33 +60,20 @@
 
 var upstreamCount atomic.Int64
 
-// Behavior of the upstreams of a machine.
-type Behavior struct {
-	Work  func(r *http.Request) time.Duration
-	Begin func(u *Upstream, run Run) bool
-}
-
-// StartUpstream starts a new boot of the machine's upstream with the default behavior.
-func (m *Machine) StartUpstream() error { return m.StartUpstreamWith(Behavior{}) }
-
-// StartUpstreamWith starts a new boot of the machine's upstream.
-func (m *Machine) StartUpstreamWith(b Behavior) error {
+// StartUpstream starts a new boot of the machine's upstream, which behaves like the one
+// before.
+func (m *Machine) StartUpstream() error {
 	listener, err := net.Listen("tcp", m.UpstreamAddress())
 	if err != nil {
 		return err
 	}
 	u := &Upstream{
 		ID: fmt.Sprintf("i-%s-%d", m.Name, upstreamCount.Add(1)), Born: time.Now().UnixMilli(), machine: m, listener: listener,
-		slots: make(chan struct{}, Slots), work: b.Work, begin: b.Begin,
+		slots: make(chan struct{}, Slots),
 	}
 	if old := m.Upstream; old != nil {
 		old.mu.Lock()
-		if u.work == nil {
-			u.work = old.work
-		}
-		if u.begin == nil {
-			u.begin = old.begin
-		}
+		u.work, u.begin, u.early = old.work, old.begin, old.early
 		old.mu.Unlock()
 	}
 	u.server = &http.Server{Handler: u}
