Store the departure of a target before it is acknowledged

Cause: an acknowledged departure was in the memory of daemons only. After all of them were killed, a heartbeat that the target had sent before its removal made it available again.

With one daemon left alive the rule holds, since that one reports the departure. test/platform.TestDepartureOutlivesAllDaemons on the code before: "20 (int) != 0: requests reached a target that has left" (removed), 19 (draining). TestDepartureIsStoredFirst and TestRestartWithoutStoredDepartures (28 requests) failed before as well.

Change: the target is drained at once; its departure is written into the entry of the daemon in the store, then acknowledged. If the store does not answer, the target is told to ask again; after 2 s the departure is acknowledged as known to the peers, and written when the store answers. A starting daemon lists the current entries, not ones that may be seconds old, and takes the departures from its own before it uses its target. This works because the store loses nothing that it has acknowledged, and nothing is acknowledged to the target before.

--- a/cmd/nutmegnode/main.go
+++ b/cmd/nutmegnode/main.go
@@ -23,7 +23,7 @@
 	}
 	objects := platform.NewObjects(s.Store)
 	p := node.Platform{
-		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Stale: objects, Edge: platform.Edge{},
+		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
 	}
 	return &service.Program{
 		MemoryLimit: s.MemoryLimitBytes, GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -40,18 +40,17 @@
 	// daemon is removed. It is longer than any partition or pause after which a
 	// daemon is expected to return.
 	entryMaxAge = 30 * time.Second
+	// maxRelease is the time after the start from which the target is available even if
+	// neither the store nor an older peer could tell which targets have left.
+	maxRelease = 5 * time.Second
+	// olderPeerAge is the difference in start times from which on a peer counts as
+	// older. Daemons that were lost together start within less.
+	olderPeerAge = 3 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay between retries of store calls.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 3 * time.Second
 )
 
-// daemonEntry is the entry of a daemon in the store.
-type daemonEntry struct {
-	Address  string  `json:"address"` // of the Fleet service
-	LinkMbps float64 `json:"linkMbps,omitempty"`
-	Cores    float64 `json:"cores,omitempty"`
-}
-
 // newBackoff returns the exponential backoff between retries of store calls.
 func newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
@@ -80,6 +79,34 @@
 	}
 }
 
+// releaseUnregistered makes the target available to a daemon that could not read the
+// stored departures. A peer that is older than this process reports them; without one
+// the daemon waits longer for the store.
+func (n *Node) releaseUnregistered(ctx context.Context) {
+	check := time.NewTicker(roleCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-check.C:
+		}
+		age := n.clock.Now().Sub(n.startedAt)
+		if n.registered.Load() || age > maxRelease || age > registerTimeout && n.hasOlderPeer() {
+			n.target.release()
+			return
+		}
+	}
+}
+
+// hasOlderPeer reports whether a live peer has run since before this daemon started.
+func (n *Node) hasOlderPeer() bool {
+	started := n.table.Local().Incarnation
+	return slices.ContainsFunc(n.table.Live(), func(m fleet.Member) bool {
+		return !m.Self && m.Incarnation+uint64(olderPeerAge.Milliseconds()) < started
+	})
+}
+
 // tryRegister writes the entry of this daemon and contacts its peers. It returns the
 // number of peers that replied.
 func (n *Node) tryRegister(ctx context.Context) (int, error) {
@@ -88,27 +115,25 @@
 	if n.settings.FirstStart {
 		return n.registerWithAll(ctx)
 	}
-	// The entries of daemons that started in the last seconds may be missing. They
-	// contact the others as well, and spread from there.
-	objects, err := n.platform.Stale.ListStale(ctx, daemonPrefix)
+	objects, _, err := n.platform.Store.List(ctx, daemonPrefix)
 	if err != nil {
 		return 0, err
 	}
-	if err := n.writeEntry(ctx, objects); err != nil {
-		return 0, err
-	}
-	if !slices.ContainsFunc(objects, func(o store.Object) bool { return o.Key != n.entryKey() }) {
-		if objects, _, err = n.platform.Store.List(ctx, daemonPrefix); err != nil {
-			return 0, err
+	for i := range objects {
+		if objects[i].Key == n.entry.key {
+			n.entry.adopt(&objects[i])
 		}
 	}
+	if err := n.entry.save(ctx, storeCallTimeout); err != nil {
+		return 0, err
+	}
 	return n.contactDaemons(ctx, objects), nil
 }
 
 // registerWithAll registers a daemon that starts together with all others. Only the
 // first of them list the entries; they contact the rest.
 func (n *Node) registerWithAll(ctx context.Context) (int, error) {
-	if err := n.writeEntry(ctx, nil); err != nil {
+	if err := n.entry.save(ctx, storeCallTimeout); err != nil {
 		return 0, err
 	}
 	select {
@@ -127,34 +152,6 @@
 	return n.contactDaemons(ctx, objects), nil
 }
 
-func (n *Node) entryKey() string { return daemonPrefix + n.settings.Name }
-
-// writeEntry writes the entry of this daemon, unless the listed one of an earlier
-// process has the same address.
-func (n *Node) writeEntry(ctx context.Context, listed []store.Object) error {
-	entry := daemonEntry{Address: n.initialState().SyncAddress, LinkMbps: n.settings.LinkMbps, Cores: n.settings.Cores}
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return err
-	}
-	for _, o := range listed {
-		if o.Key != n.entryKey() {
-			continue
-		}
-		var old daemonEntry
-		if err := json.Unmarshal(o.Value, &old); err == nil && old == entry {
-			return nil
-		}
-		_, err := n.platform.Store.Update(ctx, o.Key, value, o.Revision)
-		return err
-	}
-	// A conflict means that the entry of an earlier process still exists.
-	if _, err = n.platform.Store.Create(ctx, n.entryKey(), value); store.IsConflict(err) {
-		return nil
-	}
-	return err
-}
-
 // contactDaemons announces this daemon to the listed ones, exchanges the table with a
 // random sample of them, and returns the number of replies within contactTimeout.
 // Listed daemons that no longer exist never reply.
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -48,6 +48,10 @@
 	HandleAnnouncement(a *Announcement) bool
 	// HandleRemoval starts to drain a target that is being removed.
 	HandleRemoval(id string)
+	// AwaitDeparture waits until the departure of a target, which was announced or
+	// requested before, is recorded so that it outlives the daemon. It returns false if
+	// that takes too long; the departure must not be acknowledged then.
+	AwaitDeparture(id string) bool
 	// HandleUnreadable logs an announcement that cannot be decoded.
 	HandleUnreadable(err error)
 }
@@ -63,13 +67,5 @@
 	Headers  proxy.HeaderNames
 	Operator Operator
 	Store    store.Store
-	Stale    StaleReader
 	Edge     Edge
 }
-
-// StaleReader reads the store at a lower price than Store.
-type StaleReader interface {
-	// ListStale returns the objects whose keys start with prefix, as they were up to
-	// some seconds ago.
-	ListStale(ctx context.Context, prefix string) ([]store.Object, error)
-}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -68,6 +68,7 @@
 	peers      *proxy.Peers
 	gate       *proxy.Gate
 	target     *targetTracker
+	entry      *storedEntry
 	callers    *proxy.CallerServer
 	daemons    *server
 
@@ -194,6 +195,9 @@
 		service: s.Service, address: s.TargetAddress, heartbeat: s.Heartbeat.Duration(), gate: n.gate,
 		update: n.fleet.Update, clock: n.clock, logger: n.logger,
 	}
+	entry := daemonEntry{Address: n.initialState().SyncAddress, LinkMbps: s.LinkMbps, Cores: s.Cores}
+	n.entry = newStoredEntry(entry, n.platform.Store, daemonPrefix+s.Name, n.clock, n.logger, n.target.handleLeftTarget)
+	n.target.entry = n.entry
 	n.balancer, n.peers = proxy.NewBalancer(n.logger), proxy.NewPeers()
 	view := &directory{table: n.table, clock: n.clock, zone: s.Domain}
 	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), n.table.LiveCount)
@@ -237,7 +241,8 @@
 	n.startPart("announcements", func() error { return edge.ServeAnnouncements(ctx, n.listeners["announcements"], n.target) })
 	n.startPart("readiness", func() error { return edge.ServeReadiness(ctx, n.listeners["readiness"], n.ready) })
 	n.startPart("register", func() error { n.register(ctx); return nil })
-	time.AfterFunc(registerTimeout, n.target.release)
+	n.startPart("unregistered target", func() error { n.releaseUnregistered(ctx); return nil })
+	n.startPart("departures", func() error { n.entry.run(ctx); return nil })
 	n.startPart("configuration", func() error { n.configWatcher().run(ctx); return nil })
 	n.startPart("orders", func() error { n.orderWatcher().run(ctx); return nil })
 	n.startPart("moves", func() error { n.controller.Run(ctx); return nil })
--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -25,6 +25,7 @@
 	heartbeat time.Duration
 	gate      *proxy.Gate
 	update    func(func(*fleet.State))
+	entry     *storedEntry
 	clock     clock.Clock
 	logger    *zap.Logger
 
@@ -67,6 +68,9 @@
 	} else {
 		t.leaving = false
 	}
+	if a.Leaving {
+		t.entry.recordDeparture(a.ID, a.StartMS)
+	}
 	t.lastAnnouncement, t.silent = t.clock.Now(), false
 	first := t.current == nil || !t.released
 	changed := first || t.current.ID != a.ID || t.current.StartMS != a.StartMS || t.current.Leaving != a.Leaving || t.current.Slots != a.Slots || t.current.Version != a.Version
@@ -103,8 +107,12 @@
 		t.left = make(map[string]int64)
 	}
 	t.left[id] = max(t.left[id], startMS)
+	t.entry.recordDeparture(id, startMS)
 }
 
+// AwaitDeparture implements AnnouncementHandler.
+func (t *targetTracker) AwaitDeparture(id string) bool { return t.entry.awaitDeparture(id) }
+
 func (t *targetTracker) hasLeft(a *Announcement) bool {
 	startMS, ok := t.left[a.ID]
 	return ok && a.StartMS <= startMS
@@ -179,6 +187,7 @@
 		t.recordLeft(id, t.current.StartMS)
 		return
 	}
+	t.entry.recordDeparture(id, t.current.StartMS)
 	t.startLeaving()
 	t.publish()
 }
@@ -190,6 +199,7 @@
 	if t.current == nil || t.current.ID != id || t.leaving {
 		return
 	}
+	t.entry.recordDeparture(id, t.current.StartMS)
 	t.startLeaving()
 	t.publish()
 }
--- /dev/null
+++ b/test/platform/departure_test.go
@@ -0,0 +1,122 @@
+package platform_test
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"nutmegstand.example/nutmegstand/test/platform/standin"
+)
+
+// remove sends the removal of the target and returns the HTTP status of the response.
+func (m *machine) remove() int {
+	r, err := http.NewRequest(http.MethodDelete, "http://"+m.settings.Listen.Announcements+"/v1/instances/"+m.id, nil)
+	assert.NilError(m.t, err)
+	return m.send(r)
+}
+
+// restartAll ends all daemons before it starts them again.
+func (d *deployment) restartAll() {
+	d.stop()
+	http.DefaultClient.CloseIdleConnections() // their servers may be those of the stopped daemons
+	for _, m := range d.machines {
+		m.settings.FirstStart = false
+		m.start()
+	}
+}
+
+// TestDepartureOutlivesAllDaemons guards against requests to a target whose departure
+// was acknowledged before all daemons were lost. A heartbeat that the target sent before
+// arrives after their return.
+func TestDepartureOutlivesAllDaemons(t *testing.T) {
+	for name, leave := range map[string]func(m *machine) int{
+		"removed":  func(m *machine) int { return m.remove() },
+		"draining": func(m *machine) int { return m.sendHeartbeat("draining") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 3)
+			leaving := d.machines[0]
+			leaving.setState("")
+			assert.Equal(t, leave(leaving), http.StatusOK)
+			d.restartAll()
+			for _, m := range d.machines {
+				eventually(t, "the machine serves", recoveryTimeout, func() bool { return m.get("/look/1") == http.StatusOK })
+			}
+			assert.Equal(t, leaving.sendHeartbeat("ready"), http.StatusOK)
+			before := requestCount(leaving)
+			for i := range 60 {
+				assert.Equal(t, d.machines[i%3].get("/order/1"), http.StatusOK)
+			}
+			assert.Equal(t, requestCount(leaving), before, "requests reached a target that has left")
+		})
+	}
+}
+
+// TestDepartureIsStoredFirst guards against the acknowledgement of a departure that
+// would be forgotten with the daemons, and against a target that is never acknowledged
+// while the store is away.
+func TestDepartureIsStoredFirst(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"unavailable": standin.Unavailable, "silent": standin.NoResponse, "response lost": standin.ResponseLost,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 2)
+			m := d.machines[0]
+			m.setState("")
+			d.store.Inject(func(r *http.Request) standin.Fault {
+				if r.Method != http.MethodGet {
+					return fault
+				}
+				return standin.NoFault
+			})
+			if fault == standin.ResponseLost {
+				eventually(t, "the departure is acknowledged", time.Second, func() bool { return m.remove() == http.StatusOK })
+				assert.Assert(t, strings.Contains(string(d.store.Get("nutmegstand-daemons", "vm-0").Spec), m.id))
+				return
+			}
+			started := time.Now()
+			assert.Equal(t, m.remove(), http.StatusServiceUnavailable)
+			assert.Assert(t, time.Since(started) < time.Second, "the target waits for a second only")
+			before := requestCount(m)
+			time.Sleep(m.settings.DrainPeriod.Duration())
+			drained := requestCount(m)
+			assert.Equal(t, d.machines[1].get("/look/1"), http.StatusOK)
+			assert.Equal(t, requestCount(m), drained, "used although it leaves (%d before)", before)
+			eventually(t, "the departure is acknowledged", 3*time.Second, func() bool { return m.remove() == http.StatusOK })
+		})
+	}
+}
+
+// TestRestartWithoutStoredDepartures guards against a target that is used before the
+// stored departures were read, when no daemon outlived the failure that could report them,
+// and against one that is never used again.
+func TestRestartWithoutStoredDepartures(t *testing.T) {
+	d := newDeployment(t, 2)
+	cut := d.machines[0]
+	cut.setState("")
+	assert.Equal(t, cut.remove(), http.StatusOK)
+	var rejected atomic.Bool
+	rejected.Store(true)
+	d.store.Inject(func(r *http.Request) standin.Fault {
+		if rejected.Load() && strings.Contains(r.URL.Path, "nutmegstand-daemons") {
+			return standin.Unavailable
+		}
+		return standin.NoFault
+	})
+	d.restartAll()
+	eventually(t, "the late heartbeat is answered", recoveryTimeout, func() bool { return cut.sendHeartbeat("ready") == http.StatusOK })
+	before := requestCount(cut)
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		cut.get("/look/1")
+	}
+	assert.Equal(t, requestCount(cut), before, "used before the departures were read")
+	rejected.Store(false)
+	eventually(t, "the other target is used", recoveryTimeout, func() bool { return d.machines[1].get("/look/1") == http.StatusOK })
+	time.Sleep(time.Second)
+	cut.get("/look/1")
+	assert.Equal(t, requestCount(cut), before, "used although it has left")
+}
