Never send a request body without its start

Cause: a body is buffered up to 64 KiB so that it can be sent again. After a refusal by a target side, canContinue allowed another attempt without asking whether the start was still there, and the reader of the body went on at the current position. A chunked body is then ended properly and looks whole.

Change: each further attempt rewinds the body first, whatever the outcome of the last one was.

--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -10,11 +10,16 @@
 // that the request can be retried at another target.
 const replayLimit = 64 << 10
 
-// errBodySuperseded is returned by the reader of an abandoned attempt.
-var errBodySuperseded = errors.New("proxy: the body is sent with another attempt")
+var (
+	// errBodySuperseded is returned by the reader of an abandoned attempt.
+	errBodySuperseded = errors.New("proxy: the body is sent with another attempt")
+	// errBodyDropped is returned by a reader that would have to skip a part of the body.
+	errBodyDropped = errors.New("proxy: the start of the body is no longer buffered")
+)
 
 // Body is a request body that can be read again from its start as long as no
-// more than replayLimit bytes of it have been read.
+// more than replayLimit bytes of it have been read. A reader returns the body from
+// its start, without a gap, or an error.
 type Body struct {
 	Length int64 // -1 if unknown
 	source io.Reader
@@ -22,8 +27,9 @@
 	reading sync.Mutex // serializes reads of the source
 
 	mu       sync.Mutex
-	buffered []byte
-	overflow bool
+	buffered []byte // all that was read of the source, unless dropped
+	dropped  bool
+	position int64 // number of bytes read of the source
 	err      error // error that ended the source, io.EOF after the whole body
 	reader   *bodyReader
 }
@@ -31,15 +37,19 @@
 // NewBody returns a body that reads source once.
 func NewBody(source io.Reader, length int64) *Body { return &Body{source: source, Length: length} }
 
-// Replayable reports whether the body can be sent again. A request without a
-// body always can.
-func (b *Body) Replayable() bool {
+// Rewind prepares another attempt, and reports whether the body can be sent again. The
+// reader of the previous attempt is invalidated, so that it cannot read on and drop the
+// start. A request without a body can always be sent again.
+func (b *Body) Rewind() bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.overflow
+	if !b.dropped {
+		b.reader = nil
+	}
+	return !b.dropped
 }
 
 // Prefetch buffers a small body of known length, so that it is sent in one
@@ -52,7 +62,7 @@
 	n, err := io.ReadFull(b.source, buffered)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.buffered = buffered[:n]
+	b.buffered, b.position = buffered[:n], int64(n)
 	b.err = io.EOF
 	if err != nil {
 		b.err = err
@@ -64,7 +74,7 @@
 func (b *Body) complete() ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.buffered, errors.Is(b.err, io.EOF) && !b.overflow
+	return b.buffered, errors.Is(b.err, io.EOF) && !b.dropped
 }
 
 // Reader returns a reader that starts at the beginning of the body, and
@@ -78,7 +88,7 @@
 
 type bodyReader struct {
 	body   *Body
-	offset int
+	offset int64
 }
 
 // Read implements io.Reader.
@@ -93,11 +103,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.err = err
-	if !b.overflow && len(b.buffered)+n <= replayLimit {
+	b.position += int64(n)
+	r.offset += int64(n)
+	if !b.dropped && len(b.buffered)+n <= replayLimit {
 		b.buffered = append(b.buffered, p[:n]...)
-		r.offset += n
 	} else if n > 0 {
-		b.overflow, b.buffered = true, nil
+		b.dropped, b.buffered = true, nil
 	}
 	if b.reader != r {
 		return 0, errBodySuperseded
@@ -117,10 +128,13 @@
 	if b.reader != r {
 		return 0, true, errBodySuperseded
 	}
-	if r.offset < len(b.buffered) {
+	if r.offset < int64(len(b.buffered)) {
 		n := copy(p, b.buffered[r.offset:])
-		r.offset += n
+		r.offset += int64(n)
 		return n, true, nil
 	}
+	if r.offset != b.position {
+		return 0, true, errBodyDropped
+	}
 	return 0, b.err != nil, b.err
 }
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -246,7 +246,7 @@
 			s.fallback.Close()
 			return result
 		}
-		if !s.canContinue(ctx, result) {
+		if !s.canContinue(ctx, result) || !s.call.Body.Rewind() {
 			break
 		}
 	}
@@ -369,7 +369,7 @@
 	}
 	s.sentCount++
 	s.contacted[s.call.Target] = true
-	return s.sentCount < max(1, s.route.Attempts) && s.call.Body.Replayable() && s.hasTimeLeft(result)
+	return s.sentCount < max(1, s.route.Attempts) && s.hasTimeLeft(result)
 }
 
 // hasTimeLeft reports whether the remaining time is enough for a retry.
