Keep the start of a body for the next attempt

What callers saw: 502 for an order in chunks that a target rejected before it was in, although it could be sent to another target.

Cause: the reader of the rejected attempt is still blocked in a read of the caller's connection when the body is rewound. If the piece that arrives then exceeds the replay limit, that reader dropped the buffered start, and the next attempt failed.

Evidence: TestBlockedReaderKeepsTheStart on the code before: "the start of the body is no longer buffered".

Change: a reader that was invalidated while it read keeps the piece. The buffer exceeds the limit by one piece at most, until the next attempt has read it.

--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -105,7 +105,8 @@
 	b.err = err
 	b.position += int64(n)
 	r.offset += int64(n)
-	if !b.dropped && len(b.buffered)+n <= replayLimit {
+	// The next attempt needs what an abandoned one was still waiting for.
+	if !b.dropped && (len(b.buffered)+n <= replayLimit || b.reader != r) {
 		b.buffered = append(b.buffered, p[:n]...)
 	} else if n > 0 {
 		b.dropped, b.buffered = true, nil
--- a/pkg/proxy/body_internal_test.go
+++ b/pkg/proxy/body_internal_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // TestSecondReaderHasNoGap guards against a request that runs without the start of its
@@ -35,3 +36,38 @@
 		}
 	}
 }
+
+// TestBlockedReaderKeepsTheStart guards against a request that fails after an early
+// rejection: the reader of the rejected attempt, which still waits for the caller, must
+// not drop the start that the next attempt sends.
+func TestBlockedReaderKeepsTheStart(t *testing.T) {
+	content := bytes.Repeat([]byte("0123456789abcdef"), replayLimit/8)
+	source, caller := io.Pipe()
+	body := NewBody(source, -1)
+	first := body.Reader()
+	go func() { _, _ = caller.Write(content[:replayLimit-1]) }()
+	_, err := io.CopyN(io.Discard, first, replayLimit-1)
+	assert.NilError(t, err)
+	blocked := make(chan error)
+	go func() {
+		_, err := first.Read(make([]byte, bodyCopyBuffer))
+		blocked <- err
+	}()
+	// The first reader holds the source now.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if body.reading.TryLock() {
+			body.reading.Unlock()
+			return poll.Continue("the first reader does not read")
+		}
+		return poll.Success()
+	})
+	assert.Assert(t, body.Rewind())
+	go func() {
+		_, _ = caller.Write(content[replayLimit-1:])
+		_ = caller.Close()
+	}()
+	got, err := io.ReadAll(body.Reader())
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, content), "got %d of %d bytes", len(got), len(content))
+	assert.ErrorIs(t, <-blocked, errBodySuperseded)
+}
