Close a connection between daemons after an early response

What callers saw: 502 for an order in chunks that a target side had refused, in place of 503 or of another attempt.

Cause: a target side refuses a call before it has read its body. After the response net/http reads the rest of the body and the next request at the same time, panics ("invalid concurrent Body.Read call") and closes the connection. The caller side had put it back for use; an order that went out on it ended with an unknown outcome.

Evidence: seen in the output of TestLongBodyAfterRefusal. TestRefusalBeforeTheBodyWasRead on the code before, 3 of 3 runs: "unknown != refused: 30 bytes: proxy: read: unexpected EOF".

Change: a response that leaves before the body has been read to its end closes the connection, and says so.

Measured: the test passes in 3 of 3 runs with the race detector, without an error in the log of the server.

--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -77,6 +77,13 @@
 	return b.buffered, errors.Is(b.err, io.EOF) && !b.dropped
 }
 
+// ended reports whether the source has been read to its end.
+func (b *Body) ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err != nil
+}
+
 // Reader returns a reader that starts at the beginning of the body, and
 // invalidates the previous reader.
 func (b *Body) Reader() io.Reader {
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -248,6 +248,10 @@
 	result := s.Target.Do(ctx, call)
 	defer result.Close()
 	w.Header().Set(outcomeHeader, result.encodeOutcome())
+	if call.Body != nil && !call.Body.ended() {
+		// The server panics if it reads the rest of the body after an early response.
+		w.Header().Set("Connection", "close")
+	}
 	if result.Outcome != Answered {
 		writeEmpty(w, http.StatusServiceUnavailable)
 		return
--- a/pkg/proxy/longbody_test.go
+++ b/pkg/proxy/longbody_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -12,7 +15,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"nutmegstand.example/nutmegstand/pkg/proxy"
 	"nutmegstand.example/nutmegstand/pkg/proxy/proxytest"
+	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
 // TestLongBodyAfterRefusal guards against an order that runs without a part of its body,
@@ -75,3 +80,46 @@
 	f()
 	return 0, io.EOF
 }
+
+// refusingSide is a target side that refuses every call.
+type refusingSide struct{}
+
+func (refusingSide) Do(context.Context, *proxy.Call) *proxy.AttemptResult {
+	return &proxy.AttemptResult{Outcome: proxy.Refused, Reason: proxy.ReasonQueueFull}
+}
+
+// TestRefusalBeforeTheBodyWasRead guards against a connection between daemons that
+// breaks after a refusal, with the next request already on it: the server cannot use a
+// connection again whose last body it has not read.
+func TestRefusalBeforeTheBodyWasRead(t *testing.T) {
+	server := httptest.NewUnstartedServer(proxy.Inbound{Names: proxytest.Names, Target: refusingSide{}, Uplink: proxy.NewUplink(0)})
+	var errorLog lockedBuffer
+	server.Config.ErrorLog = log.New(&errorLog, "", 0)
+	server.Start()
+	defer server.Close()
+	peers := proxy.NewPeers()
+	for _, size := range []int{30, 5000, 100_000} {
+		for range 10 {
+			call := &proxy.Call{
+				ID: "order", Method: http.MethodPost, URI: "/order/1", Host: "fish.example", Header: http.Header{}, Kind: routing.NonIdempotent,
+				Body: proxy.NewBody(bytes.NewReader(make([]byte, size)), -1), Deadline: time.Now().Add(time.Second),
+			}
+			result := peers.Do(t.Context(), server.Listener.Addr().String(), call)
+			assert.Equal(t, result.Outcome, proxy.Refused, "%d bytes: %s", size, result.Reason)
+		}
+	}
+	server.Close() // waits for the connections
+	assert.Equal(t, errorLog.String(), "")
+}
+
+// lockedBuffer is a buffer for concurrent use.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
