--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,3 +127,84 @@
 	assert.Assert(t, store.IsUnavailable(err), "%v", err)
 	assert.Assert(t, time.Since(start) < 2*time.Second)
 }
+
+// TestCallAfterSilentConnections guards against calls that time out one after the other
+// because the open connections to the store no longer deliver: after one failed call, the
+// next one opens a new connection.
+func TestCallAfterSilentConnections(t *testing.T) {
+	s, _ := newObjects(t)
+	relay := newSilentRelay(t, s.Address)
+	objects := platform.NewObjects(relay.address)
+	var reads sync.WaitGroup
+	for range 4 { // opens several connections
+		reads.Go(func() { _, _, _ = objects.List(t.Context(), "vms/") })
+	}
+	reads.Wait()
+	relay.silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := objects.Create(ctx, "moves/desk", []byte(`{}`))
+	assert.Assert(t, store.IsOutcomeUnknown(err), "%v", err)
+	started := time.Now()
+	_, err = objects.Create(t.Context(), "moves/desk", []byte(`{}`))
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(started) < 500*time.Millisecond)
+}
+
+// silentRelay passes connections on to an address. After silence, those that are open
+// deliver nothing, and new ones work.
+type silentRelay struct {
+	address string
+
+	mu     sync.Mutex
+	silent chan struct{} // closed when the connections accepted so far deliver nothing
+}
+
+func newSilentRelay(t *testing.T, to string) *silentRelay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	r := &silentRelay{address: listener.Addr().String(), silent: make(chan struct{})}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _, _ = conn.Close(), out.Close() })
+			r.mu.Lock()
+			silent := r.silent
+			r.mu.Unlock()
+			go copyUntil(silent, out, conn)
+			go copyUntil(silent, conn, out)
+		}
+	}()
+	return r
+}
+
+func (r *silentRelay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.silent)
+	r.silent = make(chan struct{})
+}
+
+// copyUntil copies what it reads until silent is closed.
+func copyUntil(silent chan struct{}, to io.Writer, from io.Reader) {
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-silent:
+			return
+		default:
+		}
+		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+			return
+		}
+	}
+}
