--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -161,7 +162,11 @@
 	for _, o := range objects {
 		var entry daemonEntry
 		name := o.Key[len(daemonPrefix):]
-		if err := json.Unmarshal(o.Value, &entry); err != nil {
+		err := json.Unmarshal(o.Value, &entry)
+		if err == nil {
+			_, err = netip.ParseAddrPort(entry.Address)
+		}
+		if err != nil {
 			eventEntryRejected.Log(n.logger, zap.String("key", o.Key), zap.Error(err))
 			continue
 		}
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -54,7 +54,7 @@
 	eventReadFailed = telemetry.NewEvent(2222, "operator_read_failed", zapcore.WarnLevel,
 		"The operator's configuration or orders could not be read.")
 	eventEntryRejected = telemetry.NewEvent(2223, "entry_rejected", zapcore.WarnLevel,
-		"A daemon entry in the store cannot be decoded and was ignored.")
+		"A daemon entry in the store cannot be decoded or has an invalid address, and was ignored.")
 	eventTargetLeft = telemetry.NewEvent(2224, "target_left_before", zapcore.InfoLevel,
 		"A previous process of this daemon acknowledged the departure of the target; the target gets no requests.")
 	eventEntrySaved = telemetry.NewEvent(2225, "entry_saved", zapcore.InfoLevel,
--- a/test/platform/standin/store.go
+++ b/test/platform/standin/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -71,13 +72,14 @@
 	changed           chan struct{}
 	fault             func(r *http.Request) Fault
 	calls             int
+	raw               map[string][]string // objects of other writers by kind, as JSON text
 }
 
 // NewStore starts a store.
 func NewStore(t testing.TB) *Store {
 	t.Helper()
 	s := &Store{
-		objects: make(map[string]map[string]*Object), revision: 1, changed: make(chan struct{}),
+		objects: make(map[string]map[string]*Object), raw: make(map[string][]string), revision: 1, changed: make(chan struct{}),
 		fault: func(*http.Request) Fault { return NoFault },
 	}
 	server := httptest.NewServer(s)
@@ -129,6 +131,16 @@
 	s.write(kind, &o, stored == nil)
 }
 
+// PutRaw adds an object of another writer, whose JSON text need not be valid. It comes
+// first in lists, and in all watches.
+func (s *Store) PutRaw(kind, object string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw[kind] = append(s.raw[kind], object)
+	s.revision++
+	s.notify()
+}
+
 // Get returns an object, or nil if it does not exist.
 func (s *Store) Get(kind, name string) *Object {
 	s.mu.Lock()
@@ -279,7 +291,26 @@
 		items = append(items, s.objects[kind][name])
 	}
 	page["items"] = items
-	writeJSON(w, http.StatusOK, page)
+	s.writeWithRaw(w, page, `"items":[`, kind, "%s")
+}
+
+// writeWithRaw writes a response with the raw objects of a kind in format at the start
+// of its array. The caller holds mu.
+func (s *Store) writeWithRaw(w http.ResponseWriter, response any, array, kind, format string) {
+	content, err := json.Marshal(response)
+	if err != nil {
+		panic(err)
+	}
+	before, after, _ := strings.Cut(string(content), array)
+	var raw []string
+	for _, object := range s.raw[kind] {
+		raw = append(raw, fmt.Sprintf(format, object))
+	}
+	if len(raw) > 0 && !strings.HasPrefix(after, "]") {
+		raw = append(raw, "")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, before+array+strings.Join(raw, ",")+after)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -300,11 +331,12 @@
 			}
 		}
 		revision, changed := s.revision, s.changed
-		s.mu.Unlock()
 		if len(events) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at_rev": revision})
+			s.writeWithRaw(w, map[string]any{"events": events, "at_rev": revision}, `"events":[`, kind, `{"object":%s,"deleted":false}`)
+			s.mu.Unlock()
 			return
 		}
+		s.mu.Unlock()
 		select {
 		case <-changed:
 		case <-timeout:
