Soak: check bodies, remove targets without notice, kill all daemons at once

Change: orders have no body, a short one or one longer than daemons buffer, with a length or in chunks; targets compare the digest with what the client sent. Beside the schedule of a seed, which stays as it is, targets reject requests before their bodies are in, and targets are removed without having said that they drain; once that is acknowledged all daemons are killed, and late heartbeats follow.

--- a/test/platform/soak/client.go
+++ b/test/platform/soak/client.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,6 +25,14 @@
 	orderShare         = 0.5
 	cancelShare        = 0.05 // share of the requests that the client cancels early
 	cancelDelay        = 20 * time.Millisecond
+	// Sizes of the bodies of orders in bytes, and the shares of the orders that have them.
+	// The others have no body.
+	longBodyShare  = 0.15
+	minLongBody    = 50_000
+	maxLongBody    = 250_000
+	shortBodyShare = 0.4
+	maxShortBody   = 2000
+	chunkedShare   = 0.6 // share of the bodies that are sent in chunks
 )
 
 var requestCount atomic.Int64
@@ -60,19 +70,23 @@
 		stop := time.AfterFunc(cancelDelay, cancel)
 		defer stop.Stop()
 	}
-	method, body := http.MethodGet, io.Reader(http.NoBody)
+	method, sent := http.MethodGet, []byte(nil)
 	if order {
-		method = http.MethodPost
+		method, sent = http.MethodPost, randomBody()
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.machine.settings.Listen.Callers+path, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.machine.settings.Listen.Callers+path, bytes.NewReader(sent))
 	if err != nil {
 		panic(err)
 	}
+	r.GetBody = nil // the request must not be sent again
+	if len(sent) > 0 && rand.Float64() < chunkedShare {
+		r.ContentLength = -1
+	}
 	names := platform.Headers()
 	r.Host = routeHost
 	r.Header.Set(names.RequestID, id)
 	r.Header.Set(names.TimeLeft, strconv.FormatInt(timeBudget.Milliseconds(), 10))
-	c.history.addRequest(id, c.machine.name, order)
+	c.history.addRequest(id, c.machine.name, order, sha256.Sum256(sent))
 	// An order is never sent twice: RoundTrip resends a POST request without GetBody
 	// and Idempotency-Key only if nothing of it was written to the connection.
 	response, err := c.http.Transport.RoundTrip(r)
@@ -91,6 +105,22 @@
 	return response.StatusCode
 }
 
+// randomBody returns no body, a short one, or one that is longer than daemons buffer.
+func randomBody() []byte {
+	size := 0
+	switch share := rand.Float64(); {
+	case share < longBodyShare:
+		size = minLongBody + rand.IntN(maxLongBody-minLongBody)
+	case share < longBodyShare+shortBodyShare:
+		size = 1 + rand.IntN(maxShortBody)
+	}
+	body := make([]byte, size)
+	for i := range body {
+		body[i] = byte(rand.Uint32())
+	}
+	return body
+}
+
 // probe checks that one daemon process never reverts to an earlier configuration.
 // Each configuration version has a route that exists in no other version.
 func (c *client) probe(ctx context.Context, latestConfigVersion func() int) {
--- a/test/platform/soak/faults.go
+++ b/test/platform/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"syscall"
@@ -152,19 +153,30 @@
 		}
 		return nil
 	}, false},
-	{"all daemons killed", func(s *soak, _ *machine, d time.Duration) error {
-		for _, m := range s.machines {
-			if !m.reserve() {
-				continue
-			}
-			p, _, _ := m.current()
-			p.Kill()
-			m.addActiveFaults(1)
-			defer m.release()
-			defer m.addActiveFaults(-1)
-			defer func() { s.check(m.start()) }()
+	{"all daemons killed", func(s *soak, _ *machine, d time.Duration) error { return s.killAll(d/2, nil) }, false},
+}
+
+// killAll kills the daemons of all machines that are free for a fault, and of the machine
+// that the caller has reserved if it is not nil, and starts them again.
+func (s *soak) killAll(downtime time.Duration, reserved *machine) error {
+	var killed []*machine
+	for _, m := range s.machines {
+		if m != reserved && !m.reserve() {
+			continue
 		}
-		time.Sleep(d / 2)
-		return nil
-	}, false},
+		p, _, _ := m.current()
+		p.Kill()
+		m.addActiveFaults(1)
+		killed = append(killed, m)
+	}
+	time.Sleep(downtime)
+	var failed error
+	for _, m := range killed {
+		failed = errors.Join(failed, m.start())
+		m.addActiveFaults(-1)
+		if m != reserved {
+			m.release()
+		}
+	}
+	return failed
 }
--- a/test/platform/soak/history.go
+++ b/test/platform/soak/history.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net/http"
 	"sync"
@@ -10,7 +11,8 @@
 // request records one client request and its outcome.
 type request struct {
 	machine    string
-	order      bool     // non-idempotent: must not be executed twice
+	order      bool // non-idempotent: must not be executed twice
+	digest     [sha256.Size]byte
 	executions []string // IDs of the targets
 	status     int      // of the response, 0 if there was none
 }
@@ -36,19 +38,24 @@
 	h.violations = append(h.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-func (h *history) addRequest(id, machine string, order bool) {
+func (h *history) addRequest(id, machine string, order bool, digest [sha256.Size]byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.requests[id] = &request{machine: machine, order: order}
+	h.requests[id] = &request{machine: machine, order: order, digest: digest}
 }
 
-func (h *history) addExecution(id, target string) {
+// addExecution records a request that a target runs, and checks its body.
+func (h *history) addExecution(id, target string, body []byte) {
+	digest := sha256.Sum256(body)
 	h.mu.Lock()
 	r := h.requests[id]
 	if r != nil {
 		r.executions = append(r.executions, target)
 	}
 	h.mu.Unlock()
+	if r != nil && r.digest != digest {
+		h.addViolation("changed body: request %s was executed by %s with %d bytes that its client did not send", id, target, len(body))
+	}
 	if r == nil {
 		h.addViolation("unknown request: %q, which no client sent, was executed by %s", id, target)
 	}
--- a/test/platform/soak/overlay.go
+++ b/test/platform/soak/overlay.go
@@ -22,12 +22,15 @@
 	// cutShare is the share of the machines that are cut off from the store. All
 	// watchers of the configuration are among them in two cuts of five.
 	cutShare = 0.75
+	// downtimeDivisor divides the duration of an overlay: killed daemons start again
+	// within two seconds.
+	downtimeDivisor = 3
 )
 
 // runOverlay injects faults of several machines beside the schedule of the seed, which
 // keeps the order of its faults.
 func (s *soak) runOverlay(rng *rand.Rand, done <-chan struct{}) {
-	overlays := []func(*rand.Rand, time.Duration){s.limitTarget, s.cutStoreFromMost}
+	overlays := []func(*rand.Rand, time.Duration){s.limitTarget, s.cutStoreFromMost, s.rejectEarly, s.removeTarget}
 	for {
 		d := time.Duration(rng.Int64N(int64(maxOverlay)))
 		overlays[rng.IntN(len(overlays))](rng, d)
@@ -68,6 +71,27 @@
 	}
 }
 
+// rejectEarly makes a target reject requests before their bodies are in.
+func (s *soak) rejectEarly(rng *rand.Rand, d time.Duration) {
+	m := s.machines[rng.IntN(len(s.machines))]
+	s.logEvent("target rejects early %s %s", m.name, d)
+	s.check(targetFault(misbehavior{rejectEarly: true})(s, m, d))
+}
+
+// removeTarget removes a target that does not announce its departure, and kills all
+// daemons once the removal is acknowledged.
+func (s *soak) removeTarget(rng *rand.Rand, d time.Duration) {
+	m := s.machines[rng.IntN(len(s.machines))]
+	if !m.reserve() {
+		return
+	}
+	defer m.release()
+	_, t, _ := m.current()
+	s.logEvent("target removed, all daemons killed %s %s", m.name, d)
+	s.check(t.remove(func() error { return s.killAll(d/downtimeDivisor, m) }))
+	s.check(m.startTarget())
+}
+
 // storeUndisturbed reports whether the store has had no fault for settleTime.
 func (s *soak) storeUndisturbed() bool {
 	s.mu.Lock()
--- a/test/platform/soak/soak_test.go
+++ b/test/platform/soak/soak_test.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// ciSeed is the seed of the short run in CI.
-	ciSeed = 1
+	// ciSeed and ciOverlaySeed are the seeds of the short runs in CI.
+	ciSeed        = 1
+	ciOverlaySeed = 3
 	// ciDuration and seedDuration are the durations of the fault injection.
 	ciDuration   = 8 * time.Second
 	seedDuration = 30 * time.Second
@@ -40,7 +41,7 @@
 }
 
 // TestSoak guards against violated guarantees under consecutive and overlapping
-// faults. By default it does one short run. SOAK_SEEDS sets a number of seeds to run,
+// faults. By default it does two short runs. SOAK_SEEDS sets a number of seeds to run,
 // starting at SOAK_FROM or else at a seed taken from the time; the seeds that failed
 // before are then run as well.
 func TestSoak(t *testing.T) {
@@ -48,6 +49,7 @@
 	seeds, err := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
 	if err != nil {
 		runSeed(t, Options{Seed: ciSeed, Machines: ciMachines, Duration: ciDuration, BinDir: binDir})
+		runSeed(t, Options{Seed: ciOverlaySeed, Machines: ciMachines, Duration: ciDuration, Overlay: true, OverlayOnly: true, BinDir: binDir})
 		return
 	}
 	from, err := strconv.ParseUint(os.Getenv("SOAK_FROM"), 10, 64)
--- a/test/platform/soak/target.go
+++ b/test/platform/soak/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -25,12 +26,14 @@
 	slowFactor           = 20
 	droppedResponseShare = 0.1
 	errorShare           = 0.3
+	earlyShare           = 0.3 // of the requests with a body, rejected before it is in
 	ackTimeout           = time.Second
 	drainAttempts        = 5
+	lateHeartbeats       = 4 // that arrive after the removal of the target
 )
 
 // misbehavior is the set of faults that a target injects into its responses.
-type misbehavior struct{ slow, dropResponses, fail bool }
+type misbehavior struct{ slow, dropResponses, fail, rejectEarly bool }
 
 // target is one instance of the target of a machine.
 type target struct {
@@ -80,6 +83,34 @@
 	_ = t.server.Close()
 }
 
+// remove stops the target like drain, except that it removes the target first and does
+// not announce that it is draining. It calls around once that is acknowledged. The last
+// heartbeat, sent before, arrives after that.
+func (t *target) remove(around func() error) error {
+	t.stop()
+	t.heartbeatMu.Lock()
+	r, err := http.NewRequest(http.MethodDelete, t.url(), http.NoBody)
+	acknowledged := false
+	for range drainAttempts {
+		if acknowledged, _ = callControl(r); acknowledged {
+			t.drainAckedAt.Store(time.Now().UnixNano())
+			break
+		}
+		time.Sleep(heartbeatInterval)
+	}
+	t.heartbeatMu.Unlock()
+	if err == nil {
+		err = around()
+	}
+	for range lateHeartbeats {
+		t.sendHeartbeat()
+		time.Sleep(heartbeatInterval)
+	}
+	time.Sleep(drainPeriod)
+	t.crash()
+	return err
+}
+
 // drain stops the target gracefully: it sends draining heartbeats until one is
 // acknowledged, for at most drainAttempts, keeps serving for the drain period, removes
 // the target from the daemon, and stops it.
@@ -169,11 +200,23 @@
 		return
 	}
 	defer t.inFlight.Add(-1)
-	t.history.addExecution(id, t.id)
+	injected := t.misbehavior.Load()
+	if injected.rejectEarly && r.ContentLength != 0 && rand.Float64() < earlyShare {
+		controller := http.NewResponseController(w)
+		_ = controller.EnableFullDuplex() // the response leaves before the body is in
+		w.Header().Set("Connection", "close")
+		notRun(http.StatusServiceUnavailable)
+		_ = controller.Flush()
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // an incomplete request is not executed
+	}
+	t.history.addExecution(id, t.id, body)
 	if caller := r.Header.Get(names.CallerService); caller != service {
 		t.history.addViolation("wrong caller: request %s reached %s with the caller service %q", id, t.id, caller)
 	}
-	injected := t.misbehavior.Load()
 	work := time.Duration(rand.Int64N(int64(maxServiceTime)))
 	if injected.slow {
 		work *= slowFactor
