Record a departure in one place, and log bodies that cannot be sent again

Cause: the departure of a target was recorded beside both calls of startLeaving; and a request that is refused because its body was sent in part does not say so in its log line.

Change: startLeaving records the departure. The `attempts` of a request end with "body cannot be sent again". One constant has a clearer name. No other change of behaviour.

Measured: pkg/node, pkg/proxy and test/platform pass.

--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -41,9 +41,9 @@
 	// daemon is removed. It is longer than any partition or pause after which a
 	// daemon is expected to return.
 	entryMaxAge = 30 * time.Second
-	// maxRelease is the time after the start from which the target is available even if
+	// maxReleaseDelay is the time after the start from which the target is available even if
 	// neither the store nor an older peer could tell which targets have left.
-	maxRelease = 5 * time.Second
+	maxReleaseDelay = 5 * time.Second
 	// olderPeerAge is the difference in start times from which on a peer counts as
 	// older. Daemons that were lost together start within less.
 	olderPeerAge = 3 * time.Second
@@ -93,7 +93,7 @@
 		case <-check.C:
 		}
 		age := n.clock.Now().Sub(n.startedAt)
-		if n.registered.Load() || age > maxRelease || age > registerTimeout && n.hasOlderPeer() {
+		if n.registered.Load() || age > maxReleaseDelay || age > registerTimeout && n.hasOlderPeer() {
 			n.target.release()
 			return
 		}
--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -167,6 +167,7 @@
 		return
 	}
 	t.leaving = true
+	t.entry.recordDeparture(t.current.ID, t.current.StartMS)
 	t.gate.Leave(t.current.ID)
 	eventTargetLeaves.Log(t.logger, zap.String("target", t.current.ID))
 }
@@ -187,7 +188,6 @@
 		t.recordLeft(id, t.current.StartMS)
 		return
 	}
-	t.entry.recordDeparture(id, t.current.StartMS)
 	t.startLeaving()
 	t.publish()
 }
@@ -199,7 +199,6 @@
 	if t.current == nil || t.current.ID != id || t.leaving {
 		return
 	}
-	t.entry.recordDeparture(id, t.current.StartMS)
 	t.startLeaving()
 	t.publish()
 }
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -246,7 +246,11 @@
 			s.fallback.Close()
 			return result
 		}
-		if !s.canContinue(ctx, result) || !s.call.Body.Rewind() {
+		if !s.canContinue(ctx, result) {
+			break
+		}
+		if !s.call.Body.Rewind() {
+			s.addStep("body cannot be sent again")
 			break
 		}
 	}
