Acknowledge a departure only once it is stored

What callers saw: nothing; found by reading. A departure that the store had not accepted within 2 s was acknowledged as known to the peers, and would have been forgotten if all daemons were lost before the store was back.

Cause: an exception for targets that leave while the store is away, made in fear of the time that they wait.

What a target waits costs the same.

Change: the exception is gone, with its constant, its event and its clock. The target asks again until the store answers. It gets no new requests meanwhile, and exits without an acknowledgement some seconds later. TestDepartureIsStoredFirst demands that nothing is acknowledged while the store is away, and that it is after the store's return.

--- a/pkg/node/entry.go
+++ b/pkg/node/entry.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
@@ -26,9 +25,6 @@
 	// acknowledgeTimeout is the time within which a departure is acknowledged, or the
 	// target is told to ask again. Targets wait for a second.
 	acknowledgeTimeout = 800 * time.Millisecond
-	// unstoredTimeout is the time after which a departure is acknowledged that the
-	// store did not accept. By then all peers know it.
-	unstoredTimeout = 2 * time.Second
 	// saveAttempts bounds the calls that store an entry which others change meanwhile.
 	saveAttempts = 4
 )
@@ -48,7 +44,6 @@
 type storedEntry struct {
 	store  store.Store
 	key    string
-	clock  clock.Clock
 	logger *zap.Logger
 	// onDeparture is called with each departure that another process of this daemon has
 	// stored.
@@ -58,18 +53,17 @@
 	saving   sync.Mutex // held during calls to the store
 	revision int64      // of the stored entry, 0 if there is none
 
-	mu         sync.Mutex
-	entry      daemonEntry
-	stored     *daemonEntry             // nil if it is not known
-	recordedAt map[string]clock.Instant // of the departures in entry
-	saved      chan struct{}            // closed at the next change of stored
+	mu     sync.Mutex
+	entry  daemonEntry
+	stored *daemonEntry  // nil if it is not known
+	saved  chan struct{} // closed at the next change of stored
 }
 
 // newStoredEntry returns an entry that is not yet stored.
-func newStoredEntry(entry daemonEntry, s store.Store, key string, c clock.Clock, logger *zap.Logger, onDeparture func(string, int64)) *storedEntry {
+func newStoredEntry(entry daemonEntry, s store.Store, key string, logger *zap.Logger, onDeparture func(string, int64)) *storedEntry {
 	return &storedEntry{
-		store: s, key: key, clock: c, logger: logger, onDeparture: onDeparture, entry: entry,
-		wake: make(chan struct{}, 1), recordedAt: make(map[string]clock.Instant), saved: make(chan struct{}),
+		store: s, key: key, logger: logger, onDeparture: onDeparture, entry: entry,
+		wake: make(chan struct{}, 1), saved: make(chan struct{}),
 	}
 }
 
@@ -94,36 +88,28 @@
 		left = make(map[string]int64)
 	}
 	left[id] = startMS
-	e.recordedAt[id] = e.clock.Now()
 	if len(left) > maxDepartures {
 		earliest := slices.MinFunc(slices.Collect(maps.Keys(left)), func(a, b string) int { return cmp.Compare(left[a], left[b]) })
 		delete(left, earliest)
-		delete(e.recordedAt, earliest)
 	}
 	e.entry.Left = left
 }
 
-// awaitDeparture waits until the departure of a target is stored. It returns false after
-// acknowledgeTimeout, and true for a departure that was recorded unstoredTimeout ago.
+// awaitDeparture waits until the departure of a target is stored, and reports whether it
+// was within acknowledgeTimeout.
 func (e *storedEntry) awaitDeparture(id string) bool {
 	timeout := time.After(acknowledgeTimeout)
 	for {
 		e.mu.Lock()
 		startMS, ok := e.entry.Left[id]
 		stored := !ok || e.stored != nil && e.stored.covers(id, startMS)
-		known := unstoredTimeout - e.clock.Now().Sub(e.recordedAt[id])
 		saved := e.saved
 		e.mu.Unlock()
 		if stored {
 			return true
 		}
-		if known <= 0 {
-			eventDepartureUnstored.Log(e.logger, zap.String("target", id))
-			return true
-		}
 		select {
 		case <-saved:
-		case <-time.After(known):
 		case <-timeout:
 			return false
 		}
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -61,6 +61,4 @@
 		"The entry of the daemon was written to the store; left is the number of departed targets in it.")
 	eventDepartureNotSaved = telemetry.NewEvent(2226, "departure_not_saved", zapcore.WarnLevel,
 		"The departure of a target could not be stored; it is retried, and the target is told to ask again.")
-	eventDepartureUnstored = telemetry.NewEvent(2227, "departure_acknowledged_unstored", zapcore.WarnLevel,
-		"The departure of a target was acknowledged although the store did not accept it in time; only the daemons know it.")
 )
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -196,7 +196,7 @@
 		update: n.fleet.Update, clock: n.clock, logger: n.logger,
 	}
 	entry := daemonEntry{Address: n.initialState().SyncAddress, LinkMbps: s.LinkMbps, Cores: s.Cores}
-	n.entry = newStoredEntry(entry, n.platform.Store, daemonPrefix+s.Name, n.clock, n.logger, n.target.handleLeftTarget)
+	n.entry = newStoredEntry(entry, n.platform.Store, daemonPrefix+s.Name, n.logger, n.target.handleLeftTarget)
 	n.target.entry = n.entry
 	n.balancer, n.peers = proxy.NewBalancer(n.logger), proxy.NewPeers()
 	view := &directory{table: n.table, clock: n.clock, zone: s.Domain}
--- a/pkg/node/target_test.go
+++ b/pkg/node/target_test.go
@@ -28,7 +28,7 @@
 		service: "desk", address: "t:1", heartbeat: time.Second, gate: gate, clock: &clock.Manual{}, logger: zap.NewNop(),
 		update: func(change func(*fleet.State)) { change(&tracker.state) },
 	}
-	tracker.entry = newStoredEntry(daemonEntry{}, nil, "daemon", &clock.Manual{}, zap.NewNop(), tracker.handleLeftTarget)
+	tracker.entry = newStoredEntry(daemonEntry{}, nil, "daemon", zap.NewNop(), tracker.handleLeftTarget)
 	return tracker
 }
 
--- a/test/platform/departure_test.go
+++ b/test/platform/departure_test.go
@@ -57,8 +57,8 @@
 }
 
 // TestDepartureIsStoredFirst guards against the acknowledgement of a departure that
-// would be forgotten with the daemons, and against a target that is never acknowledged
-// while the store is away.
+// would be forgotten with the daemons, and against a target that is used until the store
+// answers, or never acknowledged after that.
 func TestDepartureIsStoredFirst(t *testing.T) {
 	for name, fault := range map[string]standin.Fault{
 		"unavailable": standin.Unavailable, "silent": standin.NoResponse, "response lost": standin.ResponseLost,
@@ -86,7 +86,11 @@
 			drained := requestCount(m)
 			assert.Equal(t, d.machines[1].get("/look/1"), http.StatusOK)
 			assert.Equal(t, requestCount(m), drained, "used although it leaves (%d before)", before)
-			eventually(t, "the departure is acknowledged", 3*time.Second, func() bool { return m.remove() == http.StatusOK })
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+				assert.Equal(t, m.remove(), http.StatusServiceUnavailable, "acknowledged while the store was away")
+			}
+			d.store.InjectAll(standin.NoFault)
+			eventually(t, "the departure is acknowledged", 4*time.Second, func() bool { return m.remove() == http.StatusOK })
 		})
 	}
 }
