Tests: one call that removes a target

TestLeavingTargetGetsNothing and the tests of departures use the same function. In the soak, target.remove reports an invalid request before it uses it. Checks and bounds are the same.

--- a/test/platform/departure_test.go
+++ b/test/platform/departure_test.go
@@ -12,13 +12,6 @@
 	"nutmegstand.example/nutmegstand/test/platform/standin"
 )
 
-// remove sends the removal of the target and returns the HTTP status of the response.
-func (m *machine) remove() int {
-	r, err := http.NewRequest(http.MethodDelete, "http://"+m.settings.Listen.Announcements+"/v1/instances/"+m.id, nil)
-	assert.NilError(m.t, err)
-	return m.send(r)
-}
-
 // restartAll ends all daemons before it starts them again.
 func (d *deployment) restartAll() {
 	d.stop()
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -238,6 +238,13 @@
 	return m.send(r)
 }
 
+// remove sends the removal of the target and returns the HTTP status of the response.
+func (m *machine) remove() int {
+	r, err := http.NewRequest(http.MethodDelete, "http://"+m.settings.Listen.Announcements+"/v1/instances/"+m.id, nil)
+	assert.NilError(m.t, err)
+	return m.send(r)
+}
+
 // send sends a request and returns the HTTP status of the response, or 0 if there is
 // none.
 func (m *machine) send(r *http.Request) int {
@@ -330,11 +337,7 @@
 func TestLeavingTargetGetsNothing(t *testing.T) {
 	leaveCalls := map[string]func(m *machine) int{
 		"draining": func(m *machine) int { return m.sendHeartbeat("draining") },
-		"removed": func(m *machine) int {
-			r, err := http.NewRequest(http.MethodDelete, "http://"+m.settings.Listen.Announcements+"/v1/instances/"+m.id, nil)
-			assert.NilError(t, err)
-			return m.send(r)
-		},
+		"removed":  func(m *machine) int { return m.remove() },
 	}
 	for name, leave := range leaveCalls {
 		t.Run(name, func(t *testing.T) {
--- a/test/platform/soak/target.go
+++ b/test/platform/soak/target.go
@@ -26,7 +26,7 @@
 	slowFactor           = 20
 	droppedResponseShare = 0.1
 	errorShare           = 0.3
-	earlyShare           = 0.3 // of the requests with a body, rejected before it is in
+	earlyRejectionShare  = 0.3 // of the requests with a body
 	ackTimeout           = time.Second
 	drainAttempts        = 5
 	lateHeartbeats       = 4 // that arrive after the removal of the target
@@ -83,25 +83,25 @@
 	_ = t.server.Close()
 }
 
-// remove stops the target like drain, except that it removes the target first and does
-// not announce that it is draining. It calls around once that is acknowledged. The last
-// heartbeat, sent before, arrives after that.
-func (t *target) remove(around func() error) error {
+// remove stops the target like drain, except that it does not announce that it is
+// draining: it only requests its removal. It calls whenAcknowledged after the
+// acknowledgement. Heartbeats that it sent before arrive later.
+func (t *target) remove(whenAcknowledged func() error) error {
 	t.stop()
-	t.heartbeatMu.Lock()
 	r, err := http.NewRequest(http.MethodDelete, t.url(), http.NoBody)
-	acknowledged := false
+	if err != nil {
+		return err
+	}
+	t.heartbeatMu.Lock() // waits for a heartbeat in progress
 	for range drainAttempts {
-		if acknowledged, _ = callControl(r); acknowledged {
+		if acknowledged, _ := callControl(r); acknowledged {
 			t.drainAckedAt.Store(time.Now().UnixNano())
 			break
 		}
 		time.Sleep(heartbeatInterval)
 	}
 	t.heartbeatMu.Unlock()
-	if err == nil {
-		err = around()
-	}
+	err = whenAcknowledged()
 	for range lateHeartbeats {
 		t.sendHeartbeat()
 		time.Sleep(heartbeatInterval)
@@ -201,7 +201,7 @@
 	}
 	defer t.inFlight.Add(-1)
 	injected := t.misbehavior.Load()
-	if injected.rejectEarly && r.ContentLength != 0 && rand.Float64() < earlyShare {
+	if injected.rejectEarly && r.ContentLength != 0 && rand.Float64() < earlyRejectionShare {
 		controller := http.NewResponseController(w)
 		_ = controller.EnableFullDuplex() // the response leaves before the body is in
 		w.Header().Set("Connection", "close")
