--- a/test/platform/soak/soak_test.go
+++ b/test/platform/soak/soak_test.go
@@ -41,6 +41,7 @@
 	{409, "fault of the soak test: a daemon resumed after a pause and forwarded a request to a version that had been rolled back in the meantime", true, false},
 	{32023, "probably the cause of seed 32045, by the events of the run; its logs were not kept", false, true},
 	{32045, "a target that had left was used after the loss of all daemons but one, which had been cut off when the target left", false, true},
+	{33030, "all daemons were killed ten times during a move, which did not end in time; listed in KNOWN-RED.txt", true, true},
 }
 
 // TestSoak guards against violated guarantees under consecutive and overlapping
