--- a/test/platform/oddentry_test.go
+++ b/test/platform/oddentry_test.go
@@ -1,12 +1,18 @@
 package platform_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"nutmegstand.example/nutmegstand/platform"
 )
 
 const nesting = 20_000 // deeper than encoding/json allows
@@ -101,3 +107,26 @@
 	assert.Equal(t, m.sendHeartbeat("ready"), http.StatusOK)
 	assert.Equal(t, m.get("/look/1"), http.StatusOK)
 }
+
+// TestListEndsAtPageWithoutNames guards against a list that starts again from its first
+// page, for ever, because no object of a later page has a name to continue from.
+func TestListEndsAtPageWithoutNames(t *testing.T) {
+	for _, items := range []string{``, `{"metadata":{"name":7},"spec":{}}`} {
+		var calls atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			page := items
+			if r.URL.Query().Get("after") == "" {
+				page = `{"metadata":{"name":"a","revision":3},"spec":{}}`
+			}
+			_, _ = fmt.Fprintf(w, `{"items":[%s],"has_more":true,"at_rev":9}`, page)
+		}))
+		defer server.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		listed, _, err := platform.NewObjects(server.Listener.Addr().String()).List(ctx, "vms/")
+		assert.NilError(t, err)
+		assert.Equal(t, listed[0].Key, "vms/a")
+		assert.Equal(t, calls.Load(), int32(2))
+	}
+}
