Give admission and placing packages of their own

Change: pkg/proxy/admission (slots, queue, refusals, rates, age of returning requests), pkg/proxy/balance (choice of the target) and pkg/proxy/attempt (the properties of a request and of a load that both read). They import nothing of pkg/proxy.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -7,6 +7,7 @@
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
+	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 )
 
 // directoryMaxAge is the age above which the directory is rebuilt even if the version
@@ -27,7 +28,7 @@
 	mu        sync.Mutex
 	version   uint64
 	builtAt   clock.Instant
-	services  map[string][]*proxy.Endpoint
+	services  map[string][]*balance.Endpoint
 	endpoints map[string]builtEndpoint // by daemon
 }
 
@@ -35,13 +36,13 @@
 // It is reused while neither the state nor the availability changes.
 type builtEndpoint struct {
 	state *fleet.State
-	*proxy.Endpoint
+	*balance.Endpoint
 }
 
 var _ proxy.Directory = (*directory)(nil)
 
 // Endpoints implements proxy.Directory.
-func (d *directory) Endpoints(service string) []*proxy.Endpoint {
+func (d *directory) Endpoints(service string) []*balance.Endpoint {
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -53,7 +54,7 @@
 
 func (d *directory) build(version uint64, now clock.Instant) {
 	d.version, d.builtAt = version, now
-	services := make(map[string][]*proxy.Endpoint, len(d.services))
+	services := make(map[string][]*balance.Endpoint, len(d.services))
 	endpoints := make(map[string]builtEndpoint, len(d.endpoints))
 	d.table.Each(func(m *fleet.Member) {
 		t := m.State.Target
@@ -63,7 +64,7 @@
 		available := !t.Leaving && !t.Down && !m.State.Leaving && (m.Self || now.Sub(m.LastHeartbeat) < targetSilentAfter)
 		e := d.endpoints[m.Name]
 		if e.state != m.State || e.Available != available {
-			e = builtEndpoint{m.State, &proxy.Endpoint{
+			e = builtEndpoint{m.State, &balance.Endpoint{
 				Daemon: m.Name, Address: m.State.CallAddress, SameDomain: m.State.Zone == d.zone, Local: m.Self,
 				Target: t.ID, Service: t.Service, Version: t.Version, Slots: t.Slots, LinkMbps: m.State.LinkMbps,
 				WarmAt:    time.Now().Add(time.Duration(t.WarmupLeftMS)*time.Millisecond - now.Sub(m.StateChangedAt)),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
 	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
+	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 	"nutmegstand.example/nutmegstand/pkg/rollout"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 	"nutmegstand.example/nutmegstand/pkg/telemetry"
@@ -64,7 +65,7 @@
 	collector  *rollout.Collector
 	controller *rollout.Controller
 	suspects   *proxy.Suspects
-	balancer   *proxy.Balancer
+	balancer   *balance.Balancer
 	peers      *proxy.Peers
 	gate       *proxy.Gate
 	target     *targetTracker
@@ -198,7 +199,7 @@
 	entry := daemonEntry{Address: n.initialState().SyncAddress, LinkMbps: s.LinkMbps, Cores: s.Cores}
 	n.entry = newStoredEntry(entry, n.platform.Store, daemonPrefix+s.Name, n.logger, n.target.handleLeftTarget)
 	n.target.entry = n.entry
-	n.balancer, n.peers = proxy.NewBalancer(n.logger), proxy.NewPeers()
+	n.balancer, n.peers = balance.New(n.logger), proxy.NewPeers()
 	view := &directory{table: n.table, clock: n.clock, zone: s.Domain}
 	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), n.table.LiveCount)
 	ingress := proxy.NewIngress(proxy.IngressOptions{
--- a/pkg/proxy/age.go
+++ b/pkg/proxy/admission/age.go
@@ -1,4 +1,4 @@
-package proxy
+package admission
 
 import (
 	"sync"
@@ -21,11 +21,11 @@
 	minAge = 20 * time.Millisecond
 )
 
-// ageEstimator estimates how long ago callers first sent their requests. A caller
+// AgeEstimator estimates how long ago callers first sent their requests. A caller
 // states only how much longer it waits. The longest such time that was stated lately
 // on the same route is taken as the time with which callers start. A caller that
 // starts with somewhat less time is taken for one that returns.
-type ageEstimator struct {
+type AgeEstimator struct {
 	mu     sync.Mutex
 	routes map[string]*patience
 }
@@ -37,8 +37,8 @@
 	since             time.Time
 }
 
-// age returns the estimated age of a request of a route with the given remaining time.
-func (e *ageEstimator) age(route string, left time.Duration, now time.Time) time.Duration {
+// Age returns the estimated age of a request of a route with the given remaining time.
+func (e *AgeEstimator) Age(route string, left time.Duration, now time.Time) time.Duration {
 	if left <= 0 || left > maxPatience {
 		return 0
 	}
--- /dev/null
+++ b/pkg/proxy/admission/queue.go
@@ -0,0 +1,241 @@
+// Package admission decides which requests run on a target at the same time: it assigns
+// the slots of the target, queues the requests that have to wait, and refuses those that
+// would wait too long.
+package admission
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"nutmegstand.example/nutmegstand/pkg/proxy/attempt"
+)
+
+// Reasons of a refusal.
+const (
+	ReasonQueueFull  = "queue_full"  // the request would wait too long for a slot
+	ReasonCallerGone = "caller_gone" // the caller disconnected
+)
+
+const (
+	// innerShare is the fraction of its remaining time that an inner call may
+	// wait. It is larger than waitShare because refusing an inner call wastes
+	// the work of the request that makes it.
+	innerShare = 0.5
+	// serviceTimeWeight is the weight of the newest request in the moving
+	// averages of the service time.
+	serviceTimeWeight = 0.1
+	// defaultSlots is used for a target that does not announce a number of
+	// slots.
+	defaultSlots = 8
+)
+
+// waiter is a call that waits in the queue of a target.
+type waiter struct {
+	inner     bool
+	priority  int
+	late      bool
+	deadline  time.Time   // of the call
+	waitUntil time.Time   // latest time at which a slot is granted
+	ready     chan string // receives the reason of a refusal, empty if a slot is granted
+}
+
+// before defines the queue order: inner calls first, since refusing them wastes
+// the work of the requests that make them, then by priority. Requests that have
+// missed their latency objective come after those that can still meet it: in an
+// overload they would otherwise take the slots in which new requests would be in
+// time, and most responses would be late. The rest is ordered by deadline.
+func (w *waiter) before(other *waiter) bool {
+	if w.inner != other.inner {
+		return w.inner
+	}
+	if w.priority != other.priority {
+		return w.priority < other.priority
+	}
+	if w.late != other.late {
+		return other.late
+	}
+	return w.deadline.Before(other.deadline)
+}
+
+// Queue assigns the slots of one target to calls and queues the calls that
+// have to wait.
+type Queue struct {
+	mu          sync.Mutex
+	slots       int
+	busy        int
+	waiting     []*waiter
+	serviceTime time.Duration            // moving average of the time of a request in the target
+	routeTimes  map[string]time.Duration // serviceTime by route
+	closeReason string                   // reason of every refusal once closed, empty while open
+	rate        *rate.Limiter            // of the limit that the target names, nil while it names none
+	rateNamed   bool                     // a response of the target has told whether it names a limit
+	rateTimer   *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
+}
+
+func NewQueue(slots int) *Queue {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return &Queue{slots: slots, serviceTime: attempt.DefaultRunTime, routeTimes: make(map[string]time.Duration)}
+}
+
+// Acquire waits for a slot. It returns an empty string if the call got one, and
+// otherwise the reason of the refusal.
+func (q *Queue) Acquire(ctx context.Context, request *attempt.Request) string {
+	q.mu.Lock()
+	if q.closeReason != "" {
+		defer q.mu.Unlock()
+		return q.closeReason
+	}
+	if q.busy < q.slots && len(q.waiting) == 0 && q.takeRate() {
+		q.busy++
+		q.mu.Unlock()
+		return ""
+	}
+	maxWait := q.maxWait(request)
+	w := &waiter{inner: request.Inner, priority: request.Priority, late: request.Late(q.workOf(request)), deadline: request.Deadline, waitUntil: time.Now().Add(maxWait), ready: make(chan string, 1)}
+	at := slices.IndexFunc(q.waiting, w.before)
+	if at < 0 {
+		at = len(q.waiting)
+	}
+	if q.expectedWait(at) > maxWait {
+		defer q.mu.Unlock()
+		return ReasonQueueFull
+	}
+	q.waiting = slices.Insert(q.waiting, at, w)
+	q.grantLocked()
+	q.mu.Unlock()
+	return q.wait(ctx, w, maxWait)
+}
+
+func (q *Queue) wait(ctx context.Context, w *waiter, maxWait time.Duration) string {
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	reason := ReasonQueueFull
+	select {
+	case reason = <-w.ready:
+		return reason
+	case <-ctx.Done():
+		reason = ReasonCallerGone
+	case <-timer.C:
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if i := slices.Index(q.waiting, w); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		return reason
+	}
+	// The waiter was granted a slot or refused concurrently.
+	if granted := <-w.ready; granted != "" || ctx.Err() == nil {
+		return granted
+	}
+	q.releaseLocked()
+	return ReasonCallerGone
+}
+
+// maxWait returns how long a call may wait for a slot: for a share of its
+// latency objective, or of its remaining time if it is an inner call, and only
+// as long as the target can still execute it before its deadline.
+func (q *Queue) maxWait(request *attempt.Request) time.Duration {
+	work := q.workOf(request)
+	left := time.Until(request.Deadline)
+	if request.Inner {
+		return min(time.Duration(innerShare*float64(left)), left-work)
+	}
+	return min(request.MaxQueueWait(work), left-work)
+}
+
+// workOf returns the expected time that a call takes in the target.
+func (q *Queue) workOf(request *attempt.Request) time.Duration {
+	if average := q.routeTimes[request.Route]; average > 0 {
+		return average
+	}
+	return q.serviceTime
+}
+
+// expectedWait returns the expected time until a slot is free for a call with n
+// calls ahead of it in the queue.
+func (q *Queue) expectedWait(n int) time.Duration {
+	wait := q.rateWait(n)
+	if q.busy+n < q.slots {
+		return wait
+	}
+	return max(wait, q.serviceTime*time.Duration(q.busy+n-q.slots+1)/time.Duration(q.slots))
+}
+
+// Release frees a slot. ran is the time that the request spent in the target,
+// 0 if it must not count towards the service time.
+func (q *Queue) Release(route string, ran time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if ran > 0 {
+		q.serviceTime += time.Duration(serviceTimeWeight * float64(ran-q.serviceTime))
+		if average, ok := q.routeTimes[route]; ok {
+			q.routeTimes[route] = average + time.Duration(serviceTimeWeight*float64(ran-average))
+		} else {
+			q.routeTimes[route] = ran
+		}
+	}
+	q.releaseLocked()
+}
+
+func (q *Queue) releaseLocked() {
+	q.busy--
+	q.grantLocked()
+}
+
+// grantLocked grants free slots to waiting calls, as far as the rate allows it.
+func (q *Queue) grantLocked() {
+	now := time.Now()
+	for len(q.waiting) > 0 && q.busy < q.slots {
+		w := q.waiting[0]
+		expired := now.After(w.waitUntil)
+		if !expired && !q.takeRate() {
+			q.grantAfter(q.rateWait(0))
+			return
+		}
+		q.waiting = q.waiting[1:]
+		if expired {
+			w.ready <- ReasonQueueFull
+			continue
+		}
+		q.busy++
+		w.ready <- ""
+	}
+}
+
+// Close refuses all waiting and later calls with the given reason.
+func (q *Queue) Close(reason string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closeReason = reason
+	q.stopRateTimer()
+	for _, w := range q.waiting {
+		w.ready <- reason
+	}
+	q.waiting = nil
+}
+
+func (q *Queue) Resize(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if slots > 0 {
+		q.slots = slots
+	}
+}
+
+func (q *Queue) Load() *attempt.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	load := &attempt.Load{
+		Busy: q.busy, Queued: len(q.waiting), Slots: q.slots, ServiceTime: q.serviceTime, Wait: q.expectedWait(len(q.waiting)),
+	}
+	if q.rate != nil {
+		load.RateLimit, load.RateWait = float64(q.rate.Limit()), q.rateWait(len(q.waiting))
+	}
+	return load
+}
--- /dev/null
+++ b/pkg/proxy/admission/rate.go
@@ -0,0 +1,91 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// rateBurst is the time whose share of the limit may be sent at once.
+const rateBurst = time.Second
+
+// MinRate is the lowest limit in requests per second that is applied. A target
+// that gets no requests cannot lift its limit.
+const MinRate = 0.5
+
+// SetRate sets the rate in requests per second at which slots are granted, 0 for no
+// limit. It returns the previous one.
+func (q *Queue) SetRate(limit float64) (before float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.rateNamed = true
+	return q.setRateLocked(limit)
+}
+
+// AdoptRate sets the rate that a caller side knows from an earlier process of this
+// daemon, until the first response of the target.
+func (q *Queue) AdoptRate(limit float64) {
+	if !(limit >= MinRate) || math.IsInf(limit, 0) {
+		return // none, or not a limit that a daemon reports
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.rateNamed && q.rate == nil {
+		q.setRateLocked(limit)
+	}
+}
+
+func (q *Queue) setRateLocked(limit float64) (before float64) {
+	if q.rate != nil {
+		before = float64(q.rate.Limit())
+	}
+	if limit == before {
+		return before
+	}
+	burst := max(1, int(limit*rateBurst.Seconds()))
+	switch {
+	case limit == 0:
+		q.rate = nil
+	case q.rate == nil:
+		q.rate = rate.NewLimiter(rate.Limit(limit), burst)
+	default:
+		q.rate.SetLimit(rate.Limit(limit))
+		q.rate.SetBurst(burst)
+	}
+	q.stopRateTimer()
+	q.grantLocked()
+	return before
+}
+
+// takeRate reports whether the rate allows a request now, which then counts.
+func (q *Queue) takeRate() bool { return q.rate == nil || q.rate.Allow() }
+
+// rateWait returns the time until the rate allows a request that comes after n others.
+func (q *Queue) rateWait(n int) time.Duration {
+	if q.rate == nil {
+		return 0
+	}
+	missing := float64(n+1) - q.rate.Tokens()
+	return max(0, time.Duration(missing/float64(q.rate.Limit())*float64(time.Second)))
+}
+
+// grantAfter schedules the next grant.
+func (q *Queue) grantAfter(wait time.Duration) {
+	if q.rateTimer != nil {
+		return
+	}
+	q.rateTimer = time.AfterFunc(wait, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.rateTimer = nil
+		q.grantLocked()
+	})
+}
+
+func (q *Queue) stopRateTimer() {
+	if q.rateTimer != nil {
+		q.rateTimer.Stop()
+		q.rateTimer = nil
+	}
+}
--- a/pkg/proxy/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -1,4 +1,6 @@
-package proxy
+// Package balance chooses the target of each request on the caller side, from the
+// reported loads of the targets and from this daemon's own measurements.
+package balance
 
 import (
 	"math"
@@ -7,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/proxy/attempt"
 )
 
 const (
@@ -27,6 +31,8 @@
 	// delays a small response: it only waits behind the send windows of the
 	// active transfers.
 	smallResponseBacklogKB = 64
+	// SmallResponseKB is the size below which a response does not queue for the uplink.
+	SmallResponseKB = 16
 	// overheadWeight is the weight of the newest call in the moving average of
 	// the time that calls to a target take in addition to queueing, execution
 	// and transfer.
@@ -79,15 +85,10 @@
 	Available  bool      // not leaving, down or silent
 }
 
-// Directory lists the targets of a service.
-type Directory interface {
-	Endpoints(service string) []*Endpoint
-}
-
 // targetStats holds the statistics of a caller side about one target.
 type targetStats struct {
 	inFlight            int
-	load                Load
+	load                attempt.Load
 	callsSinceLoad      int           // calls started since the load was reported
 	slowness            float64       // run time relative to the average of the same routes, 0 if unknown
 	overhead            time.Duration // average time of a call in addition to queueing, execution and transfer
@@ -97,6 +98,22 @@
 	usedAt              time.Time
 }
 
+// Result is the result of an attempt.
+type Result struct {
+	Took      time.Duration // 0 if the attempt was not made
+	Ran       time.Duration // time in the target until the response header
+	Waited    time.Duration // time until a slot was granted
+	Load      *attempt.Load // nil if none was reported
+	Answered  bool          // the target responded
+	Refused   bool          // the target side did not send the request to the target
+	QueueFull bool          // refused, since it would have waited too long for a slot
+	Failed    bool          // counts as a failure of the target
+	// Neutral results tell nothing about the target's health.
+	Neutral      bool
+	Unresponsive bool   // the target's machine did not respond within the network timeouts
+	Reason       string // for the log
+}
+
 // Balancer chooses the target with the shortest expected response time.
 type Balancer struct {
 	logger *zap.Logger
@@ -107,8 +124,8 @@
 	responseKB map[string]float64       // average response size in KB by route
 }
 
-// NewBalancer returns a balancer without statistics.
-func NewBalancer(logger *zap.Logger) *Balancer {
+// New returns a balancer without statistics.
+func New(logger *zap.Logger) *Balancer {
 	return &Balancer{
 		logger: logger, stats: make(map[string]*targetStats), runTimes: make(map[string]time.Duration), responseKB: make(map[string]float64),
 	}
@@ -127,7 +144,7 @@
 // time, or nil if there is none. If all available endpoints are paused, it
 // returns the one whose pause ends first. The call counts as in flight at the
 // chosen endpoint until Done is called.
-func (b *Balancer) Choose(call *Call, endpoints []*Endpoint) *Endpoint {
+func (b *Balancer) Choose(request *attempt.Request, endpoints []*Endpoint) *Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -144,7 +161,7 @@
 			}
 			continue
 		}
-		cost := b.expectedTime(e, s, call, now) * (1 + costJitter*rand.Float64())
+		cost := b.expectedTime(e, s, request, now) * (1 + costJitter*rand.Float64())
 		if cost < shortest {
 			best, shortest = e, cost
 		}
@@ -168,8 +185,8 @@
 
 // expectedTime returns the expected response time in nanoseconds, including
 // penalties for failures and for traffic between failure domains.
-func (b *Balancer) expectedTime(e *Endpoint, s *targetStats, call *Call, now time.Time) float64 {
-	run := float64(b.expectedRun(s, call.Route))
+func (b *Balancer) expectedTime(e *Endpoint, s *targetStats, request *attempt.Request, now time.Time) float64 {
+	run := float64(b.expectedRun(s, request.Route))
 	slots := float64(max(s.load.Slots, e.Slots, 1))
 	freshness := 1 - min(1, float64(now.Sub(s.load.At))/float64(loadMaxAge))
 	occupied := freshness*float64(s.load.Busy+s.load.Queued) + float64(s.callsSinceLoad)
@@ -187,12 +204,12 @@
 		wait = max(wait, serviceTime*(occupied-slots+1)/slots)
 	}
 	t += wait
-	if !call.Inner && wait > float64(call.maxQueueWait(time.Duration(run))) {
+	if !request.Inner && wait > float64(request.MaxQueueWait(time.Duration(run))) {
 		t += float64(fullPenalty)
 	}
-	t += b.networkTime(e, s, call, freshness)
+	t += b.networkTime(e, s, request, freshness)
 	failures := min(s.failures, maxFailureRate)
-	return t/(1-failures) + failures*float64(call.Objective)
+	return t/(1-failures) + failures*float64(request.Objective)
 }
 
 // expectedRun returns the expected run time of a request of the given route in
@@ -200,7 +217,7 @@
 func (b *Balancer) expectedRun(s *targetStats, route string) time.Duration {
 	baseline, ok := b.runTimes[route]
 	if !ok {
-		baseline = defaultServiceTime
+		baseline = attempt.DefaultRunTime
 	}
 	if s.slowness > 0 {
 		baseline = time.Duration(float64(baseline) * s.slowness)
@@ -208,14 +225,14 @@
 	return baseline
 }
 
-// runTime returns the average run time of a request of the given route.
-func (b *Balancer) runTime(route string) time.Duration {
+// RunTime returns the average run time of a request of the given route.
+func (b *Balancer) RunTime(route string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if average, ok := b.runTimes[route]; ok {
 		return average
 	}
-	return defaultServiceTime
+	return attempt.DefaultRunTime
 }
 
 // recordRun adds the run time of a request to the averages. Targets are
@@ -237,13 +254,13 @@
 // networkTime returns the time that a call to an endpoint takes in addition to
 // queueing and execution, plus the cost of its traffic between failure domains
 // expressed as time. freshness is the weight of the reported link backlog.
-func (b *Balancer) networkTime(e *Endpoint, s *targetStats, call *Call, freshness float64) float64 {
+func (b *Balancer) networkTime(e *Endpoint, s *targetStats, request *attempt.Request, freshness float64) float64 {
 	if e.Local {
 		return 0
 	}
-	kb := b.responseKB[call.Route] + headersKB
+	kb := b.responseKB[request.Route] + headersKB
 	backlog := s.load.Uplink
-	if kb < minTransferBytes>>10 {
+	if kb < SmallResponseKB {
 		backlog = min(backlog, smallResponseBacklogKB)
 	}
 	t := float64(s.overhead) + float64(transferTime(transferWeight*kb+freshness*backlog, e.LinkMbps))
@@ -265,27 +282,26 @@
 
 // recordOverhead adds the time that a call took in addition to queueing,
 // execution and transfer to the average.
-func (s *targetStats) recordOverhead(e *Endpoint, took time.Duration, result *AttemptResult, kb float64) {
-	if e.Local || result.Outcome != Answered && result.Outcome != Refused {
+func (s *targetStats) recordOverhead(e *Endpoint, result *Result, kb float64) {
+	if e.Local || !result.Answered && !result.Refused {
 		return
 	}
-	overhead := max(0, took-result.Waited-result.Ran-transferTime(kb, e.LinkMbps))
-	if result.Outcome == Refused {
-		overhead = took
+	overhead := max(0, result.Took-result.Waited-result.Ran-transferTime(kb, e.LinkMbps))
+	if result.Refused {
+		overhead = result.Took
 	}
 	s.overhead += time.Duration(overheadWeight * float64(overhead-s.overhead))
 }
 
-// Done records the result of an attempt. took is its duration, 0 if the attempt
-// was not made; failed counts it as a failure of the target.
-func (b *Balancer) Done(e *Endpoint, call *Call, result *AttemptResult, took time.Duration, failed bool) {
+// Done records the result of an attempt.
+func (b *Balancer) Done(e *Endpoint, request *attempt.Request, result *Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	s := b.statsFor(e.Target)
 	s.inFlight--
-	if took > 0 && (result.Outcome != Refused || result.Waited == 0 && result.Reason != ReasonQueueFull) {
-		s.recordOverhead(e, took, result, b.responseKB[call.Route])
+	if result.Took > 0 && (!result.Refused || result.Waited == 0 && !result.QueueFull) {
+		s.recordOverhead(e, result, b.responseKB[request.Route])
 	}
 	if result.Load != nil {
 		s.load = *result.Load
@@ -295,20 +311,21 @@
 		// The completed call no longer adds to the load that was last reported.
 		s.callsSinceLoad = max(0, s.callsSinceLoad-1)
 	}
-	if result.Outcome == Answered && !failed {
-		b.recordRun(s, call.Route, result.Ran)
+	if result.Answered && !result.Failed {
+		b.recordRun(s, request.Route, result.Ran)
 	}
-	if result.Outcome == Refused && result.Reason != ReasonTargetDown {
-		return // no information about the target's health
-	}
-	if result.Reason == ReasonCallerGone {
+	if result.Neutral {
 		return
 	}
-	if !failed {
+	if !result.Failed {
 		s.failures -= failureWeight * s.failures
 		s.consecutiveFailures, s.pausedUntil = 0, time.Time{}
 		return
 	}
+	b.recordFailure(e, s, result, now)
+}
+
+func (b *Balancer) recordFailure(e *Endpoint, s *targetStats, result *Result, now time.Time) {
 	s.failures += failureWeight * (1 - s.failures)
 	s.consecutiveFailures++
 	if result.Unresponsive {
@@ -324,10 +341,10 @@
 }
 
 // Loads returns the last reported loads by target.
-func (b *Balancer) Loads() map[string]Load {
+func (b *Balancer) Loads() map[string]attempt.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	loads := make(map[string]Load, len(b.stats))
+	loads := make(map[string]attempt.Load, len(b.stats))
 	for target, s := range b.stats {
 		if !s.load.At.IsZero() {
 			loads[target] = s.load
@@ -357,3 +374,23 @@
 		}
 	}
 }
+
+// RateLimit returns the rate limit that was last reported for a target, 0 if none was.
+func (b *Balancer) RateLimit(target string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.stats[target]; s != nil {
+		return s.load.RateLimit
+	}
+	return 0
+}
+
+// rateTime returns the expected wait for the rate of a target, given the weight of its
+// last report.
+func (s *targetStats) rateTime(freshness float64) time.Duration {
+	if s.load.RateLimit <= 0 {
+		return 0
+	}
+	sent := float64(s.callsSinceLoad) / s.load.RateLimit * float64(time.Second)
+	return time.Duration(freshness * (float64(s.load.RateWait) + sent))
+}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -11,6 +11,9 @@
 	"net/http"
 	"time"
 
+	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
+	"nutmegstand.example/nutmegstand/pkg/proxy/attempt"
+	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -59,6 +62,14 @@
 	Deadline time.Time // the earlier of the deadlines of the caller and of the route
 }
 
+// request returns the properties of the call that decide where it goes and when it gets
+// a slot.
+func (c *Call) request() *attempt.Request {
+	return &attempt.Request{
+		Route: c.Route, Priority: c.Priority, Inner: c.Inner, Objective: c.Objective, Age: c.Age, Deadline: c.Deadline,
+	}
+}
+
 // Outcome is the result class of an attempt.
 type Outcome string
 
@@ -77,32 +88,19 @@
 
 // Reasons why a target side refuses a call.
 const (
-	ReasonNoTarget    = "no_target"    // no target is present, or it is not the requested one
-	ReasonLeaving     = "leaving"      // the target or its daemon is leaving
-	ReasonQueueFull   = "queue_full"   // the call would wait too long for a slot
-	ReasonExpired     = "expired"      // too little time is left before the deadline
-	ReasonVersion     = "version"      // the version of the target must not be used
-	ReasonStaleConfig = "stale_config" // the configuration of the caller side is out of date
-	ReasonSuspect     = "suspect"      // the request has been in flight during several target crashes
-	ReasonTargetDown  = "target_down"  // the target does not accept connections
-	ReasonCallerGone  = "caller_gone"  // the caller disconnected
+	ReasonNoTarget    = "no_target"                // no target is present, or it is not the requested one
+	ReasonLeaving     = "leaving"                  // the target or its daemon is leaving
+	ReasonQueueFull   = admission.ReasonQueueFull  // the call would wait too long for a slot
+	ReasonExpired     = "expired"                  // too little time is left before the deadline
+	ReasonVersion     = "version"                  // the version of the target must not be used
+	ReasonStaleConfig = "stale_config"             // the configuration of the caller side is out of date
+	ReasonSuspect     = "suspect"                  // the request has been in flight during several target crashes
+	ReasonTargetDown  = "target_down"              // the target does not accept connections
+	ReasonCallerGone  = admission.ReasonCallerGone // the caller disconnected
 )
 
 // Load is the load that a target side reports with each result.
-type Load struct {
-	Busy        int // slots in use
-	Queued      int
-	Slots       int
-	ServiceTime time.Duration // average time of a request in the target
-	Wait        time.Duration // expected time until a slot is free, set on the target side only
-	RateLimit   float64       // requests per second that the target takes, 0 if it names no limit
-	RateWait    time.Duration // expected time until the limit allows another request
-	Uplink      float64       // KB queued or being sent on the uplink of the target's machine
-	At          time.Time     // when the report was received
-}
-
-// Age returns the time since the report was received.
-func (l Load) Age() time.Duration { return time.Since(l.At) }
+type Load = attempt.Load
 
 // AttemptResult is the result of one attempt.
 type AttemptResult struct {
@@ -129,6 +127,18 @@
 	}
 }
 
+// forBalancer returns the result as the balancer records it. failed counts an attempt
+// that may have reached the target as a failure of the target.
+func (a *AttemptResult) forBalancer(took time.Duration, failed bool) *balance.Result {
+	refused := a.Outcome == Refused
+	down := a.Reason == ReasonTargetDown
+	return &balance.Result{
+		Took: took, Ran: a.Ran, Waited: a.Waited, Load: a.Load, Answered: a.Outcome == Answered, Refused: refused,
+		QueueFull: a.Reason == ReasonQueueFull, Failed: failed || a.Outcome == Unreached || down,
+		Neutral: refused && !down || a.Reason == ReasonCallerGone, Unresponsive: a.Unresponsive, Reason: a.Reason,
+	}
+}
+
 func refusal(reason string, retryAfter time.Duration) *AttemptResult {
 	return &AttemptResult{Outcome: Refused, Reason: reason, RetryAfter: retryAfter}
 }
--- a/pkg/proxy/events.go
+++ b/pkg/proxy/events.go
@@ -19,8 +19,6 @@
 		"A target crashed while this request was in flight; after several crashes the request is refused.")
 	eventAnswerCut = telemetry.NewEvent(2005, "answer_cut", zapcore.WarnLevel,
 		"A response body was interrupted after the response header had been sent; the caller's connection is closed so that the caller detects the truncation.")
-	eventTargetPaused = telemetry.NewEvent(2006, "target_paused", zapcore.InfoLevel,
-		"A target failed several consecutive attempts and gets no calls during the pause.")
 	eventServerError = telemetry.NewEvent(2007, "server_error", zapcore.DebugLevel,
 		"The HTTP server reported a problem with a connection.")
 	eventRateLimit = telemetry.NewEvent(2008, "target_rate_limit", zapcore.InfoLevel,
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -72,7 +73,7 @@
 
 	mu        sync.Mutex
 	target    *LocalTarget
-	slots     *admission
+	slots     *admission.Queue
 	conns     *pool
 	leaveEnd  clock.Instant // no request is sent after it, 0 if the target is not leaving
 	downUntil clock.Instant
@@ -93,12 +94,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target != nil && g.target.ID == t.ID && g.target.Address == t.Address {
-		g.slots.resize(t.Slots)
+		g.slots.Resize(t.Slots)
 		g.target, g.down = &t, false
 		return
 	}
 	g.closeLocked(ReasonNoTarget)
-	g.target, g.slots, g.conns = &t, newAdmission(t.Slots), newPool(t.Address)
+	g.target, g.slots, g.conns = &t, admission.NewQueue(t.Slots), newPool(t.Address)
 	g.leaveEnd, g.down, g.downUntil = 0, false, 0
 }
 
@@ -120,7 +121,7 @@
 	wait := time.Duration(float64(g.DrainPeriod) * leaveShare)
 	g.leaveEnd = g.Clock.Now().Add(wait)
 	slots := g.slots
-	time.AfterFunc(wait, func() { slots.close(ReasonLeaving) })
+	time.AfterFunc(wait, func() { slots.Close(ReasonLeaving) })
 }
 
 // Stop refuses later calls, which might not end before the daemon does. Calls that have
@@ -142,7 +143,7 @@
 	if g.target == nil {
 		return
 	}
-	g.slots.close(reason)
+	g.slots.Close(reason)
 	g.conns.close()
 	g.target = nil
 }
@@ -157,8 +158,8 @@
 	return g.load(g.slots)
 }
 
-func (g *Gate) load(slots *admission) *Load {
-	load := slots.load()
+func (g *Gate) load(slots *admission.Queue) *Load {
+	load := slots.Load()
 	load.Uplink = g.Uplink.PendingKB()
 	return load
 }
@@ -182,7 +183,7 @@
 
 // admit checks whether a call may be sent now. It returns the target with its
 // slots and connections, or the reason of a refusal.
-func (g *Gate) admit(call *Call) (*LocalTarget, *admission, *pool, string) {
+func (g *Gate) admit(call *Call) (*LocalTarget, *admission.Queue, *pool, string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -225,13 +226,13 @@
 	arrived := time.Now()
 	target, slots, conns, reason := g.admit(call)
 	if reason == "" {
-		slots.adoptRate(call.TargetLimit)
-		reason = slots.acquire(ctx, call)
+		slots.AdoptRate(call.TargetLimit)
+		reason = slots.Acquire(ctx, call.request())
 	}
 	if reason == "" {
 		// The conditions may have changed during the wait.
 		if _, _, _, reason = g.admit(call); reason != "" {
-			slots.release(call.Route, 0)
+			slots.Release(call.Route, 0)
 		}
 	}
 	waited := time.Since(arrived)
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/zap"
 
+	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
+	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -38,10 +40,15 @@
 	retryTimeShare = 0.6
 )
 
+// Directory lists the targets of a service.
+type Directory interface {
+	Endpoints(service string) []*balance.Endpoint
+}
+
 // VersionChooser distributes requests over the versions of a service.
 type VersionChooser interface {
 	// Choose returns the endpoints of the version that gets the next request.
-	Choose(service string, endpoints []*Endpoint) []*Endpoint
+	Choose(service string, endpoints []*balance.Endpoint) []*balance.Endpoint
 }
 
 // AttemptRecorder records the results of attempts. They decide whether a move
@@ -59,7 +66,7 @@
 	Directory Directory
 	Versions  VersionChooser
 	Recorder  AttemptRecorder
-	Balancer  *Balancer
+	Balancer  *balance.Balancer
 	Budget    *RetryBudget
 	Gate      *Gate
 	Peers     *Peers
@@ -72,7 +79,7 @@
 // Ingress is the caller side of a daemon.
 type Ingress struct {
 	IngressOptions
-	ages ageEstimator
+	ages admission.AgeEstimator
 }
 
 // NewIngress returns an Ingress.
@@ -170,7 +177,7 @@
 			c.Deadline = end
 		}
 		if !c.Inner {
-			c.Age = s.ingress.ages.age(route.Name, left, c.Received)
+			c.Age = s.ingress.ages.Age(route.Name, left, c.Received)
 		}
 	}
 	c.Service = pickService(route.Split)
@@ -238,7 +245,7 @@
 		}
 		if s.sentCount > 0 && !i.Budget.Spend(s.call.Service, s.lastChance()) {
 			s.addStep("no retry budget")
-			i.Balancer.Done(e, s.call, &AttemptResult{Outcome: Refused}, 0, false)
+			i.Balancer.Done(e, s.call.request(), &balance.Result{Refused: true, Neutral: true})
 			break
 		}
 		result := s.send(ctx, e)
@@ -262,23 +269,23 @@
 // and is still in time if its objective allows a second run.
 func (s *requestState) lastChance() bool {
 	c := s.call
-	return c.Inner || c.Age > 0 || s.mayHaveRun || c.Objective < returnTime+2*s.ingress.Balancer.runTime(c.Route)
+	return c.Inner || c.Age > 0 || s.mayHaveRun || c.Objective < returnTime+2*s.ingress.Balancer.RunTime(c.Route)
 }
 
 // choose returns the target of the next attempt, nil if there is none. The
 // first attempt waits a short time for a target to become available.
-func (s *requestState) choose(ctx context.Context) *Endpoint {
+func (s *requestState) choose(ctx context.Context) *balance.Endpoint {
 	i := s.ingress
 	waitUntil := s.call.Received.Add(time.Duration(float64(s.call.Objective) * targetWaitShare))
 	for {
 		endpoints := i.Versions.Choose(s.call.Service, i.Directory.Endpoints(s.call.Service))
-		e := i.Balancer.Choose(s.call, excludeTargets(endpoints, s.attempted))
+		e := i.Balancer.Choose(s.call.request(), excludeTargets(endpoints, s.attempted))
 		if e == nil && s.sentCount > 0 && s.refusalCount > 0 {
 			// Targets that were full before the last attempt may have free slots now.
-			e = i.Balancer.Choose(s.call, excludeTargets(endpoints, s.contacted))
+			e = i.Balancer.Choose(s.call.request(), excludeTargets(endpoints, s.contacted))
 		}
 		if e != nil {
-			s.call.Target, s.call.Version, s.call.TargetLimit = e.Target, e.Version, i.Balancer.rateLimit(e.Target)
+			s.call.Target, s.call.Version, s.call.TargetLimit = e.Target, e.Version, i.Balancer.RateLimit(e.Target)
 			s.attempted[e.Target] = true
 			return e
 		}
@@ -295,11 +302,11 @@
 }
 
 // excludeTargets returns the endpoints whose targets are not in the given set.
-func excludeTargets(endpoints []*Endpoint, targets map[string]bool) []*Endpoint {
+func excludeTargets(endpoints []*balance.Endpoint, targets map[string]bool) []*balance.Endpoint {
 	if len(targets) == 0 {
 		return endpoints
 	}
-	remaining := make([]*Endpoint, 0, len(endpoints))
+	remaining := make([]*balance.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
 		if !targets[e.Target] {
 			remaining = append(remaining, e)
@@ -309,7 +316,7 @@
 }
 
 // send makes an attempt at an endpoint and records its result.
-func (s *requestState) send(ctx context.Context, e *Endpoint) *AttemptResult {
+func (s *requestState) send(ctx context.Context, e *balance.Endpoint) *AttemptResult {
 	i := s.ingress
 	s.call.Attempt++
 	s.call.Retry = s.sentCount > 0
@@ -331,7 +338,7 @@
 		result.Reason = ReasonCallerGone
 	}
 	failed := result.Outcome == Unknown || result.Outcome == Rejected || result.Status >= http.StatusInternalServerError
-	i.Balancer.Done(e, s.call, result, time.Since(started), failed || result.Outcome == Unreached || result.Reason == ReasonTargetDown)
+	i.Balancer.Done(e, s.call.request(), result.forBalancer(time.Since(started), failed))
 	i.Metrics.attempt(e.Service, result.Outcome)
 	if !callerLeft && (result.Outcome == Answered || result.Outcome == Unknown) {
 		i.Recorder.RecordAttempt(e.Service, e.Version, s.call.Route, failed, time.Since(started))
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -10,18 +10,20 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
 )
 
 // leavingValue is the value of the header in the responses of a leaving target.
 const leavingValue = "1"
 
 // run sends a call that has been granted a slot to the target.
-func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission, conns *pool) *AttemptResult {
+func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission.Queue, conns *pool) *AttemptResult {
 	g.track(call, true)
 	started := time.Now()
 	finish := func(ran time.Duration) {
 		g.track(call, false)
-		slots.release(call.Route, ran)
+		slots.Release(call.Route, ran)
 	}
 	maxIdle := time.Hour
 	if !call.Kind.Repeatable() {
@@ -62,7 +64,7 @@
 
 // readResult reads the target's response and returns the result of the attempt.
 func (g *Gate) readResult(
-	call *Call, x *exchange, started time.Time, conns *pool, finish func(time.Duration), slots *admission,
+	call *Call, x *exchange, started time.Time, conns *pool, finish func(time.Duration), slots *admission.Queue,
 ) *AttemptResult {
 	r := x.response
 	load := g.load(slots)
--- a/pkg/proxy/uplink.go
+++ b/pkg/proxy/uplink.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
+
 	"golang.org/x/time/rate"
 )
 
@@ -13,7 +15,7 @@
 	// minTransferBytes is the size from which a buffered response to another
 	// daemon is queued and paced as a transfer. Smaller responses take only a
 	// few packets.
-	minTransferBytes = 16 << 10
+	minTransferBytes = balance.SmallResponseKB << 10
 	// mbpsPerTransfer is the link speed that each concurrent transfer needs.
 	// With more concurrent transfers all of them are late.
 	mbpsPerTransfer = 5
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -11,6 +11,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
+	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 )
 
 // rankedPlan is a plan with the rank of its fact.
@@ -118,14 +119,14 @@
 }
 
 // Choose implements proxy.VersionChooser.
-func (f *Follower) Choose(service string, endpoints []*proxy.Endpoint) []*proxy.Endpoint {
+func (f *Follower) Choose(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
 	p := f.plan(service)
 	if p == nil {
 		return f.chooseWithoutPlan(service, endpoints)
 	}
 	rolledBack := f.WasRolledBack(service, p.Order)
 	wantNew := p.State == Active && !rolledBack && f.Random() < p.Share
-	var old, target []*proxy.Endpoint
+	var old, target []*balance.Endpoint
 	for _, e := range endpoints {
 		switch {
 		case !p.allowsAfter(e.Version, rolledBack):
@@ -152,13 +153,13 @@
 // requests for which no old target is available.
 const spilloverMinShare = 0.5
 
-func anyAvailable(endpoints []*proxy.Endpoint) bool {
-	return slices.ContainsFunc(endpoints, func(e *proxy.Endpoint) bool { return e.Available })
+func anyAvailable(endpoints []*balance.Endpoint) bool {
+	return slices.ContainsFunc(endpoints, func(e *balance.Endpoint) bool { return e.Available })
 }
 
 // chooseWithoutPlan returns the endpoints of the version in use. Targets of a
 // version for which the operator has placed no order get no requests.
-func (f *Follower) chooseWithoutPlan(service string, endpoints []*proxy.Endpoint) []*proxy.Endpoint {
+func (f *Follower) chooseWithoutPlan(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
 	if len(endpoints) == 0 {
 		return nil
 	}
@@ -173,7 +174,7 @@
 
 // chooseMajority returns the endpoints of the version in use. If no endpoint has
 // that version any more, it is replaced by the version of the most endpoints.
-func (f *Follower) chooseMajority(service string, endpoints []*proxy.Endpoint) []*proxy.Endpoint {
+func (f *Follower) chooseMajority(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
 	counts := make(map[string]int)
 	for _, e := range endpoints {
 		counts[e.Version]++
@@ -191,5 +192,5 @@
 		})
 		f.versionInUse[service] = version
 	}
-	return slices.DeleteFunc(slices.Clone(endpoints), func(e *proxy.Endpoint) bool { return e.Version != version })
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e *balance.Endpoint) bool { return e.Version != version })
 }
