Give the test of failed inner calls a run time

Change: the test's result has a run time, as each answered attempt has. Evidence: go test ./pkg/proxy -run InnerCall passes.

--- a/pkg/proxy/innerfailed_test.go
+++ b/pkg/proxy/innerfailed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,7 +25,7 @@
 	assert.Assert(t, g.innerFailed(call))
 	assert.Assert(t, !g.innerFailed(other))
 	for _, failed := range []bool{false, true} {
-		sent := &AttemptResult{Outcome: Answered, Status: http.StatusInternalServerError, InnerFailed: failed}
+		sent := &AttemptResult{Outcome: Answered, Status: http.StatusInternalServerError, InnerFailed: failed, Ran: time.Millisecond}
 		header := http.Header{}
 		header.Set(outcomeHeader, sent.encodeOutcome())
 		result, err := decodeResult(&http.Response{StatusCode: sent.Status, Header: header})
