Refuse a request of HTTP/1.0 in chunks

What callers saw: a success for an order of which the target had nothing or the first bytes of the chunked form.

Cause: HTTP/1.0 has no transfer encodings. http.ReadRequest removes and ignores the header, so the body counts as empty, or as long as the length says, and the request is forwarded with that body.

Change: the header of a request whose first line is not known to be one of HTTP/1.1 is recorded within the limit of its size. A transfer encoding in an HTTP/1.0 request gets 400, and the connection is closed, as RFC 9112 (6.1) asks. A request of HTTP/1.1 costs a look at its first line.

A body without length and chunks in HTTP/1.0 cannot be told from an empty one.

--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -81,7 +81,11 @@
 	}
 	c.limit.start(c.server.HeaderBytes)
 	defer c.limit.stop()
+	c.limit.recordOldRequest(c.reader)
 	r, err := http.ReadRequest(c.reader)
+	if err == nil && !r.ProtoAtLeast(1, 1) {
+		err = c.limit.checkOldRequest()
+	}
 	switch {
 	case err != nil && c.limit.exceeded():
 		return nil, &requestError{errHeaderTooLarge}
--- a/pkg/proxy/headlimit.go
+++ b/pkg/proxy/headlimit.go
@@ -1,16 +1,20 @@
 package proxy
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"math"
+	"net/textproto"
 )
 
 // headLimit bounds the bytes that are read for one message header. The parsers of
 // net/http read lines and headers of any length.
 type headLimit struct {
 	io.Reader
-	left int64
+	left   int64
+	record *bytes.Buffer // receives a copy of the bytes of the header, nil if not needed
 }
 
 func newHeadLimit(r io.Reader) *headLimit { return &headLimit{Reader: r, left: math.MaxInt64} }
@@ -21,7 +25,7 @@
 func (l *headLimit) start(bytes int) { l.left = int64(bytes) }
 
 // stop ends the header. What follows is not bounded.
-func (l *headLimit) stop() { l.left = math.MaxInt64 }
+func (l *headLimit) stop() { l.left, l.record = math.MaxInt64, nil }
 
 func (l *headLimit) exceeded() bool { return l.left <= 0 }
 
@@ -35,5 +39,38 @@
 	}
 	n, err := l.Reader.Read(p)
 	l.left -= int64(n)
+	if l.record != nil {
+		_, _ = l.record.Write(p[:n]) // a buffer does not fail
+	}
 	return n, err
 }
+
+var errOldChunks = errors.New("proxy: HTTP/1.0 request with a transfer encoding")
+
+// recordOldRequest records the header that reader reads next from l, unless it is known
+// to be one of HTTP/1.1.
+func (l *headLimit) recordOldRequest(reader *bufio.Reader) {
+	buffered, _ := reader.Peek(reader.Buffered()) // does not read
+	line, _, found := bytes.Cut(buffered, []byte("\n"))
+	if !found || !bytes.HasSuffix(bytes.TrimSuffix(line, []byte("\r")), []byte("HTTP/1.1")) {
+		l.record = bytes.NewBuffer(bytes.Clone(buffered))
+	}
+}
+
+// checkOldRequest returns an error if the recorded header of an HTTP/1.0 request names a
+// transfer encoding. HTTP/1.0 has none, and net/http ignores it, so that the request
+// would run without its body.
+func (l *headLimit) checkOldRequest() error {
+	if l.record == nil {
+		return nil
+	}
+	reader := textproto.NewReader(bufio.NewReader(l.record))
+	if _, err := reader.ReadLine(); err != nil {
+		return err
+	}
+	header, err := reader.ReadMIMEHeader()
+	if err == nil && header["Transfer-Encoding"] != nil {
+		err = errOldChunks
+	}
+	return err
+}
