Recognize a request in chunks that crashes targets

Cause: the fingerprint of a request had its body only if that had been read completely. It had not been when the suspects were asked, and it had been when the crash was recorded. Bodies over 64 KiB had none at any time, so all of one path and caller were one request.

Change: a fingerprint has the first 64 KiB of the body, or is not known yet. If a suspect has the same method, host, path and caller, that part of the body is read before the call is admitted; other calls do not wait. After a crash the rest of it is read for up to 0.3 s. TestSuspectsAreForgiven is the same, with the second result of Fingerprint.

--- a/pkg/proxy/admission_test.go
+++ b/pkg/proxy/admission_test.go
@@ -278,15 +278,17 @@
 	c := &clock.Manual{}
 	s := &Suspects{Clock: c, Logger: zap.NewNop(), Publish: func(uint64, int) {}}
 	call := newCall(1, time.Second, false)
+	fingerprint, known := Fingerprint(call)
+	assert.Assert(t, known)
 	s.recordCrash([]*Call{call})
-	s.RecordRemote("peer", Fingerprint(call), 1)
+	s.RecordRemote("peer", fingerprint, 1)
 	assert.Assert(t, s.IsBlocked(call))
 	c.Advance(suspectRetention + time.Second)
 	assert.Assert(t, !s.IsBlocked(call))
-	s.RecordRemote("peer", Fingerprint(call), 1) // the same fact again
+	s.RecordRemote("peer", fingerprint, 1) // the same fact again
 	s.recordCrash([]*Call{call})
 	assert.Assert(t, !s.IsBlocked(call), "one crash since")
-	s.RecordRemote("peer", Fingerprint(call), 2)
+	s.RecordRemote("peer", fingerprint, 2)
 	assert.Assert(t, s.IsBlocked(call))
 }
 
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // replayLimit is the size in bytes up to which a request body is buffered, so
@@ -29,8 +32,9 @@
 	mu       sync.Mutex
 	buffered []byte // all that was read of the source, unless dropped
 	dropped  bool
-	position int64 // number of bytes read of the source
-	err      error // error that ended the source, io.EOF after the whole body
+	prefix   uint64 // hash of the first replayLimit bytes, set when they are dropped
+	position int64  // number of bytes read of the source
+	err      error  // error that ended the source, io.EOF after the whole body
 	reader   *bodyReader
 }
 
@@ -77,6 +81,45 @@
 	return b.buffered, errors.Is(b.err, io.EOF) && !b.dropped
 }
 
+func hashPrefix(content []byte) uint64 {
+	return xxhash.Sum64(content[:min(len(content), replayLimit)])
+}
+
+// prefixHash returns the hash of the first replayLimit bytes of the body, and reports
+// whether they are known. A request without a body has the hash of an empty one.
+func (b *Body) prefixHash() (uint64, bool) {
+	if b == nil {
+		return hashPrefix(nil), true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.dropped:
+		return b.prefix, true
+	case len(b.buffered) >= replayLimit, errors.Is(b.err, io.EOF):
+		return hashPrefix(b.buffered), true
+	}
+	return 0, false
+}
+
+// readPrefix reads the body until its prefixHash is known, reading fails or ctx ends. It
+// invalidates the reader of the previous attempt, and drops nothing.
+func (b *Body) readPrefix(ctx context.Context) {
+	if _, known := b.prefixHash(); known {
+		return
+	}
+	reader, done := b.Reader(), make(chan struct{})
+	go func() {
+		defer close(done)
+		// The limit keeps the reader from dropping the start; the error stays in the body.
+		_, _ = io.Copy(io.Discard, io.LimitReader(reader, replayLimit))
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // ended reports whether the source has been read to its end.
 func (b *Body) ended() bool {
 	b.mu.Lock()
@@ -113,10 +156,12 @@
 	b.position += int64(n)
 	r.offset += int64(n)
 	// The next attempt needs what an abandoned one was still waiting for.
-	if !b.dropped && (len(b.buffered)+n <= replayLimit || b.reader != r) {
+	if !b.dropped {
 		b.buffered = append(b.buffered, p[:n]...)
-	} else if n > 0 {
-		b.dropped, b.buffered = true, nil
+		if len(b.buffered) > replayLimit && b.reader == r && n > 0 {
+			b.prefix = hashPrefix(b.buffered)
+			b.dropped, b.buffered = true, nil
+		}
 	}
 	if b.reader != r {
 		return 0, errBodySuperseded
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -223,6 +223,7 @@
 // Do implements TargetSide.
 func (g *Gate) Do(ctx context.Context, call *Call) *AttemptResult {
 	arrived := time.Now()
+	g.Suspects.AwaitBody(ctx, call)
 	target, slots, conns, reason := g.admit(call)
 	if reason == "" {
 		slots.adoptRate(call.TargetLimit)
@@ -230,6 +231,7 @@
 	}
 	if reason == "" {
 		// The conditions may have changed during the wait.
+		g.Suspects.AwaitBody(ctx, call)
 		if _, _, _, reason = g.admit(call); reason != "" {
 			slots.release(call.Route, 0)
 		}
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -37,7 +37,7 @@
 	x, err := c.roundTrip(ctx, g.outboundRequest(call, target))
 	if err != nil {
 		conns.discard(c)
-		g.confirmCrash(err)
+		g.confirmCrash(ctx, call, err)
 		finish(0)
 		return &AttemptResult{Outcome: Unknown, Reason: err.Error(), Load: g.load(slots)}
 	}
@@ -156,8 +156,9 @@
 }
 
 // confirmCrash passes the calls in flight to Suspects when a connection to the
-// target was lost while its response was being read.
-func (g *Gate) confirmCrash(err error) {
+// target was lost while the response to a call was being read. It then reads the start of
+// the call's body, by which its repetitions are recognized.
+func (g *Gate) confirmCrash(ctx context.Context, call *Call, err error) {
 	var connErr *ConnError
 	if !errors.As(err, &connErr) || connErr.Phase != "read" {
 		return
@@ -172,6 +173,9 @@
 	if target != nil {
 		g.Suspects.ConfirmCrash(target.Address, calls)
 	}
+	ctx, cancel := context.WithTimeout(ctx, crashBodyTimeout)
+	defer cancel()
+	call.Body.readPrefix(ctx)
 }
 
 func (g *Gate) markUnreachable(ctx context.Context, err error) {
--- a/pkg/proxy/suspects.go
+++ b/pkg/proxy/suspects.go
@@ -25,6 +25,11 @@
 	// crashProbeTimeout bounds the probe. It can be short, since the target is
 	// on the same machine.
 	crashProbeTimeout = 200 * time.Millisecond
+	// crashBodyTimeout bounds the wait for the start of a body that was being sent to a
+	// target when it crashed.
+	crashBodyTimeout = 300 * time.Millisecond
+	// baseBits is the position of the part of a fingerprint that does not depend on the body.
+	baseBits = 32
 )
 
 // Suspects tracks requests that were in flight when targets crashed, and
@@ -38,6 +43,7 @@
 
 	mu      sync.Mutex
 	records map[uint64]*suspect
+	bases   map[uint32]bool // first parts of the fingerprints in records
 	probing bool
 }
 
@@ -68,30 +74,53 @@
 	}
 }
 
-// Fingerprint returns a hash of the method, host, URI, calling service and body
-// of a request, by which its repetitions are recognized.
-func Fingerprint(call *Call) uint64 {
+// fingerprintBase returns a hash of the method, host, URI and calling service of a
+// request, which are known before its body.
+func fingerprintBase(call *Call) uint32 {
 	h := xxhash.New()
 	for _, part := range []string{call.Method, call.Host, call.URI, call.CallerService} {
 		_, _ = h.WriteString(strconv.Itoa(len(part)) + ":" + part) // a hash does not fail
 	}
-	if call.Body != nil {
-		if content, ok := call.Body.complete(); ok {
-			_, _ = h.Write(content)
-		}
+	return uint32(h.Sum64())
+}
+
+// Fingerprint returns the hash by which the repetitions of a request are recognized: its
+// fingerprintBase and a hash of the first replayLimit bytes of its body. It reports false
+// if they are not known yet. How the body is framed does not matter.
+func Fingerprint(call *Call) (uint64, bool) {
+	body, known := call.Body.prefixHash()
+	return uint64(fingerprintBase(call))<<baseBits | uint64(uint32(body)), known
+}
+
+// AwaitBody reads the start of a request's body if suspects differ from the request by
+// their body at most. IsBlocked needs it.
+func (s *Suspects) AwaitBody(ctx context.Context, call *Call) {
+	if s.watches(call) {
+		call.Body.readPrefix(ctx)
 	}
-	return h.Sum64()
 }
 
-// IsBlocked reports whether a request must be refused because several targets
-// crashed while it was in flight.
-func (s *Suspects) IsBlocked(call *Call) bool {
+// watches reports whether a suspect has the fingerprintBase of a request.
+func (s *Suspects) watches(call *Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.records) == 0 {
+	return len(s.bases) > 0 && s.bases[fingerprintBase(call)]
+}
+
+// IsBlocked reports whether a request must be refused because several targets
+// crashed while it was in flight. A request that may be one of the suspects, and whose
+// body could not be read, is blocked too.
+func (s *Suspects) IsBlocked(call *Call) bool {
+	if !s.watches(call) {
 		return false
 	}
-	record := s.records[Fingerprint(call)]
+	fingerprint, known := Fingerprint(call)
+	if !known {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := s.records[fingerprint]
 	return record != nil && record.crashes() >= crashesToRefuse && s.Clock.Now().Sub(record.updatedAt) < suspectRetention
 }
 
@@ -122,26 +151,43 @@
 	})
 }
 
+// recordCrash records the calls that were in flight at a crash. Those whose bodies are
+// still being read follow after crashBodyTimeout.
 func (s *Suspects) recordCrash(calls []*Call) {
-	seen := make(map[uint64]int)
+	seen := make(map[uint64]bool)
+	if pending := s.recordKnown(calls, seen); len(pending) > 0 {
+		time.AfterFunc(crashBodyTimeout, func() { s.recordKnown(pending, seen) })
+	}
+}
+
+// recordKnown records the calls whose fingerprints are known and not yet seen at this
+// crash, and returns those whose fingerprints are not known.
+func (s *Suspects) recordKnown(calls []*Call, seen map[uint64]bool) (pending []*Call) {
+	changed := make(map[uint64]int)
 	s.mu.Lock()
 	for _, call := range calls {
-		fingerprint := Fingerprint(call)
-		if _, ok := seen[fingerprint]; ok {
+		fingerprint, known := Fingerprint(call)
+		if !known {
+			pending = append(pending, call)
+			continue
+		}
+		if seen[fingerprint] {
 			continue
 		}
+		seen[fingerprint] = true
 		record := s.getOrCreate(fingerprint)
 		record.forgive(s.Clock.Now())
 		record.local++
 		record.updatedAt = s.Clock.Now()
-		seen[fingerprint] = record.local
+		changed[fingerprint] = record.local
 		eventSuspect.Log(s.Logger, zap.String("request", call.ID), zap.Uint64("fingerprint", fingerprint),
 			zap.Int("crashes", record.crashes()))
 	}
 	s.mu.Unlock()
-	for fingerprint, crashes := range seen {
+	for fingerprint, crashes := range changed {
 		s.Publish(fingerprint, crashes)
 	}
+	return pending
 }
 
 // RecordRemote records the number of crashes that another daemon has seen.
@@ -158,8 +204,9 @@
 
 func (s *Suspects) getOrCreate(fingerprint uint64) *suspect {
 	if s.records == nil {
-		s.records = make(map[uint64]*suspect)
+		s.records, s.bases = make(map[uint64]*suspect), make(map[uint32]bool)
 	}
+	s.bases[uint32(fingerprint>>baseBits)] = true
 	record := s.records[fingerprint]
 	if record == nil {
 		record = &suspect{remote: make(map[string]int), updatedAt: s.Clock.Now()}
