Decode workspaces and index their keys

Callers saw no difference yet: workspaces of the operator's configuration were ignored.

A configuration now has workspaces (name, digests of the keys, rate, burst, priority) and routes that need no key.

Deltas contain only changed and removed workspaces. A table finds a key's workspace with one map lookup.

--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -1,5 +1,5 @@
 // Package routing provides the accepted configuration of a deployment (routes,
-// services and limits), the table that matches requests against the routes, and
+// services, limits and workspaces), the table that matches requests against the routes, and
 // the deltas between versions of the configuration.
 package routing
 
@@ -33,11 +33,12 @@
 	Host      string        `json:"host"`
 	Prefix    string        `json:"prefix"` // starts and ends with a slash
 	Kind      Kind          `json:"kind"`
-	Timeout   time.Duration `json:"timeout"`   // maximum time to a response
-	Objective time.Duration `json:"objective"` // latency objective
-	Attempts  int           `json:"attempts"`  // maximum number of targets that one request may reach
-	Priority  int           `json:"priority"`  // 0 is the highest
-	Split     []Share       `json:"split"`     // never empty
+	Timeout   time.Duration `json:"timeout"`          // maximum time to a response
+	Objective time.Duration `json:"objective"`        // latency objective
+	Attempts  int           `json:"attempts"`         // maximum number of targets that one request may reach
+	Priority  int           `json:"priority"`         // 0 is the highest
+	Split     []Share       `json:"split"`            // never empty
+	Exempt    bool          `json:"exempt,omitempty"` // requests need no key of a workspace
 }
 
 // Allows reports whether the route sends requests to a service.
@@ -55,7 +56,7 @@
 		return true
 	}
 	if r.Host != o.Host || r.Prefix != o.Prefix || r.Kind != o.Kind || r.Timeout != o.Timeout ||
-		r.Objective != o.Objective || r.Attempts != o.Attempts || r.Priority != o.Priority || len(r.Split) != len(o.Split) {
+		r.Objective != o.Objective || r.Attempts != o.Attempts || r.Priority != o.Priority || r.Exempt != o.Exempt || len(r.Split) != len(o.Split) {
 		return false
 	}
 	for i := range r.Split {
@@ -87,6 +88,9 @@
 	Routes   []*Route  `json:"routes"` // immutable once the version is in force
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Workspaces are immutable once the version is in force. If there is none, requests
+	// need no keys.
+	Workspaces []*Workspace `json:"workspaces,omitempty"`
 }
 
 // reuseRoutes replaces the routes that are equal in the previous version by those
@@ -111,6 +115,9 @@
 	Removed  []string  `json:"removed,omitempty"`
 	Services []Service `json:"services,omitempty"`
 	Limits   Limits    `json:"limits"`
+
+	SetWorkspaces     []*Workspace `json:"setWorkspaces,omitempty"`
+	RemovedWorkspaces []string     `json:"removedWorkspaces,omitempty"`
 }
 
 // Diff returns the delta from old to c.
@@ -130,6 +137,7 @@
 	for name := range before {
 		delta.Removed = append(delta.Removed, name)
 	}
+	delta.SetWorkspaces, delta.RemovedWorkspaces = diffWorkspaces(old.Workspaces, c.Workspaces)
 	return delta
 }
 
@@ -140,6 +148,7 @@
 		return nil, false
 	}
 	next := &Config{Version: delta.Version, Services: delta.Services, Limits: delta.Limits}
+	next.Workspaces = applyWorkspaces(c.Workspaces, delta.SetWorkspaces, delta.RemovedWorkspaces)
 	changed := make(map[string]bool, len(delta.Set)+len(delta.Removed))
 	for _, name := range delta.Removed {
 		changed[name] = true
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -11,10 +11,28 @@
 	Config   *Config
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
+
+	workspaces map[string]*Workspace
+	keys       *keyIndex
 }
 
 // NewTable compiles a configuration.
 func NewTable(c *Config) *Table {
+	t := newTable(c)
+	t.workspaces, t.keys = workspacesByName(c.Workspaces), newKeyIndex(c.Workspaces)
+	return t
+}
+
+// newTableAfter compiles a configuration and shares what has not changed since the
+// previous one.
+func newTableAfter(previous *Table, c *Config) *Table {
+	t := newTable(c)
+	t.workspaces = workspacesByName(c.Workspaces)
+	t.keys = previous.keys.update(previous.workspaces, c.Workspaces)
+	return t
+}
+
+func newTable(c *Config) *Table {
 	t := &Table{Config: c, hosts: make(map[string]map[string]*Route), services: make(map[string]*Service)}
 	for _, route := range c.Routes {
 		host := strings.ToLower(route.Host)
@@ -45,6 +63,30 @@
 	return t.services[name]
 }
 
+// HasWorkspaces reports whether requests need a key of a workspace.
+func (t *Table) HasWorkspaces() bool { return t != nil && len(t.workspaces) > 0 }
+
+// WorkspaceByName returns a workspace, or nil if there is none with that name.
+func (t *Table) WorkspaceByName(name string) *Workspace {
+	if t == nil {
+		return nil
+	}
+	return t.workspaces[name]
+}
+
+// Authenticate returns the workspace that a key belongs to, or nil if the key is not
+// known.
+func (t *Table) Authenticate(key KeyDigest) *Workspace {
+	if !t.HasWorkspaces() || key.IsZero() {
+		return nil
+	}
+	name, ok := t.keys.find(key)
+	if !ok {
+		return nil
+	}
+	return t.workspaces[name]
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -66,8 +108,8 @@
 func (c *Current) Load() *Table { return c.table.Load() }
 
 // Advance puts a configuration in force if it is newer than the current one.
-// Current owns the configuration from then on: Advance may replace its routes, and
-// the caller must not modify it.
+// Current owns the configuration from then on: Advance may replace its routes
+// and workspaces, and the caller must not modify it.
 func (c *Current) Advance(config *Config) bool {
 	var next *Table
 	for {
@@ -76,13 +118,19 @@
 			return false
 		}
 		if next == nil {
-			if current != nil {
-				config.reuseRoutes(current.Config)
-			}
-			next = NewTable(config)
+			next = compile(current, config)
 		}
 		if c.table.CompareAndSwap(current, next) {
 			return true
 		}
 	}
 }
+
+func compile(current *Table, config *Config) *Table {
+	if current == nil {
+		return NewTable(config)
+	}
+	config.reuseRoutes(current.Config)
+	config.reuseWorkspaces(current)
+	return newTableAfter(current, config)
+}
--- /dev/null
+++ b/pkg/routing/workspace.go
@@ -0,0 +1,117 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"slices"
+)
+
+// KeyDigest identifies a key of a workspace: the first half of its SHA-256 hash. Keys
+// themselves are never kept. The zero value stands for no key.
+type KeyDigest [sha256.Size / 2]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(sum[:len(KeyDigest{})])
+}
+
+// IsZero reports whether the digest stands for no key.
+func (d KeyDigest) IsZero() bool { return d == KeyDigest{} }
+
+// String returns the same text for every digest, so that none gets into a log.
+func (d KeyDigest) String() string { return "key digest" }
+
+// MarshalText implements encoding.TextMarshaler, for exchanges between daemons.
+func (d KeyDigest) MarshalText() ([]byte, error) {
+	return base64.RawStdEncoding.AppendEncode(nil, d[:]), nil
+}
+
+var errKeyDigest = errors.New("routing: key digest is not 16 bytes in base64")
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	var decoded [len(d) + 2]byte // room for the rest of a longer text
+	if len(text) != base64.RawStdEncoding.EncodedLen(len(d)) {
+		return errKeyDigest
+	}
+	n, err := base64.RawStdEncoding.Decode(decoded[:], text)
+	if err != nil || n != len(d) {
+		return errKeyDigest
+	}
+	*d = KeyDigest(decoded[:n])
+	return nil
+}
+
+// Workspace is a group of clients that share limits. A request belongs to the workspace
+// whose key it carries.
+type Workspace struct {
+	Name     string      `json:"name"`
+	Keys     []KeyDigest `json:"keys,omitempty"`
+	Rate     float64     `json:"rate,omitempty"`     // requests per second, 0 means no limit
+	Burst    float64     `json:"burst,omitempty"`    // requests above the rate
+	Priority *int        `json:"priority,omitempty"` // replaces that of the route, nil to keep that
+}
+
+func (w *Workspace) equal(o *Workspace) bool {
+	if w == o {
+		return true
+	}
+	samePriority := w.Priority == o.Priority || w.Priority != nil && o.Priority != nil && *w.Priority == *o.Priority
+	return w.Name == o.Name && w.Rate == o.Rate && w.Burst == o.Burst && samePriority && slices.Equal(w.Keys, o.Keys)
+}
+
+func workspacesByName(workspaces []*Workspace) map[string]*Workspace {
+	if len(workspaces) == 0 {
+		return nil
+	}
+	byName := make(map[string]*Workspace, len(workspaces))
+	for _, w := range workspaces {
+		byName[w.Name] = w
+	}
+	return byName
+}
+
+// reuseWorkspaces replaces the workspaces that are equal in the previous version by
+// those of that version.
+func (c *Config) reuseWorkspaces(previous *Table) {
+	for i, w := range c.Workspaces {
+		if old := previous.workspaces[w.Name]; old != nil && w.equal(old) {
+			c.Workspaces[i] = old
+		}
+	}
+}
+
+// diffWorkspaces returns the changed workspaces and the names of the removed ones.
+func diffWorkspaces(old, next []*Workspace) (set []*Workspace, removed []string) {
+	before := workspacesByName(old)
+	for _, w := range next {
+		if previous, ok := before[w.Name]; !ok || !w.equal(previous) {
+			set = append(set, w)
+		}
+		delete(before, w.Name)
+	}
+	for name := range before {
+		removed = append(removed, name)
+	}
+	return set, removed
+}
+
+// applyWorkspaces returns the workspaces that result from changing and removing some.
+func applyWorkspaces(old, set []*Workspace, removed []string) []*Workspace {
+	changed := make(map[string]bool, len(set)+len(removed))
+	for _, name := range removed {
+		changed[name] = true
+	}
+	for _, w := range set {
+		changed[w.Name] = true
+	}
+	var next []*Workspace
+	for _, w := range old {
+		if !changed[w.Name] {
+			next = append(next, w)
+		}
+	}
+	return append(next, set...)
+}
