Check the keys of requests at both sides

What callers saw: any request was served whatever its key, the key was passed on to targets, and a client could name any workspace.

The caller side takes the key out of the request, finds its workspace and answers 401 to a request with an unknown key or without one, 503 if the ID looks like that of an inner call whose parent is not known. The decision is pkg/proxy/access. Calls carry the workspace and the digest of the key. The target side checks them again if its configuration is newer, also after the wait for a slot, and refuses with stale_config; the caller side then checks the request with the newer version. The target gets the workspace that the system found, never one that the client sent, and never the key. Log entries of malformed requests no longer quote the header. A key that arrives in several header lines is unknown. The priority of a workspace replaces that of the route.

A deployment whose platform names no such headers, or whose configuration has no workspaces, sends the same bytes between daemons as before.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -28,6 +28,8 @@
 	CallerService  string // service of the machine that the request comes from
 	Leaving        string // set in the responses of a target that is leaving
 	RateLimit      string // requests per second that a target takes from all machines together, in its responses
+	Key            string // key of a workspace, in the requests of clients; empty if the deployment has none
+	Workspace      string // name of the workspace whose key a request carried, for targets
 }
 
 // Call is a request on its way to a target.
@@ -39,6 +41,8 @@
 	Priority      int
 	Objective     time.Duration
 	CallerService string
+	Workspace     string            // whose key the request carried, empty if none
+	KeyDigest     routing.KeyDigest // of that key, zero if none or if the deployment has no workspaces
 	ConfigVersion uint64
 	CallerMbps    float64       // link speed of the caller's machine, 0 if unknown
 	Age           time.Duration // estimated time since the caller first sent the request, 0 for inner calls
--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -86,7 +87,7 @@
 	case err != nil && c.limit.exceeded():
 		return nil, &requestError{errHeaderTooLarge}
 	case err != nil:
-		return nil, &requestError{err}
+		return nil, &requestError{&parseError{err}}
 	}
 	if r.ProtoMajor != 1 || r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return nil, &requestError{fmt.Errorf("proxy: request with protocol %q and host %q, want HTTP/1.x with a host", r.Proto, r.Host)}
@@ -102,6 +103,19 @@
 // Unwrap returns the cause.
 func (e *requestError) Unwrap() error { return e.Cause }
 
+// parseError is an error of net/http, whose text may quote a header with a key.
+type parseError struct{ Cause error }
+
+// Error returns the text of the cause up to the quotation.
+func (e *parseError) Error() string {
+	text, _, _ := strings.Cut(e.Cause.Error(), `"`)
+	text, _, _ = strings.Cut(text, "line: ")
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *parseError) Unwrap() error { return e.Cause }
+
 // awaitRequest sets the read deadline before and after the wait for a request. While
 // requests are in progress there is none: the read then only detects that the caller
 // has left.
--- a/pkg/proxy/events.go
+++ b/pkg/proxy/events.go
@@ -23,4 +23,8 @@
 		"The HTTP server reported a problem with a connection.")
 	eventRateLimit = telemetry.NewEvent(2008, "target_rate_limit", zapcore.InfoLevel,
 		"The local target named another rate limit in a response, or no longer names one (limit 0, in requests per second).")
+	eventKeyStale = telemetry.NewEvent(2020, "key_stale", zapcore.InfoLevel,
+		"The target side has a newer configuration, in which the key of a call belongs to another workspace or to none; the caller side checks the request again.")
+	eventKeyWithdrawn = telemetry.NewEvent(2021, "key_withdrawn", zapcore.InfoLevel,
+		"A newer configuration, which came into force while the request was waiting, does not allow it; it was not run.")
 )
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -205,7 +205,8 @@
 	table := g.Config.Load()
 	if table.Version() > call.ConfigVersion {
 		path, _, _ := strings.Cut(call.URI, "?")
-		if route := table.Match(call.Host, path); route == nil || !route.Allows(call.Service) {
+		route := table.Match(call.Host, path)
+		if route == nil || !route.Allows(call.Service) || !g.confirmAccess(table, route, call) {
 			return ReasonStaleConfig
 		}
 	}
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -52,10 +52,18 @@
 		Target: c.Target, Route: c.Route, Service: c.Service, Kind: uint32(slices.Index(routing.Kinds, c.Kind)),
 		Priority: int32(c.Priority), ObjectiveMs: c.Objective.Milliseconds(), CallerService: c.CallerService,
 		ConfigVersion: c.ConfigVersion, Attempt: int32(c.Attempt), Repeat: c.Retry, Inner: c.Inner, LeftUs: time.Until(c.Deadline).Microseconds(),
-		CallerMbps: float32(c.CallerMbps), AgeMs: c.Age.Milliseconds(), RateLimit: c.TargetLimit,
+		CallerMbps: float32(c.CallerMbps), AgeMs: c.Age.Milliseconds(), RateLimit: c.TargetLimit, Workspace: c.Workspace, KeyDigest: c.digestBytes(),
 	})
 }
 
+// digestBytes returns the digest of the key, nil if there is none.
+func (c *Call) digestBytes() []byte {
+	if c.KeyDigest.IsZero() {
+		return nil
+	}
+	return c.KeyDigest[:]
+}
+
 // HopHeaderError reports a missing or invalid header between daemons.
 type HopHeaderError struct{ Cause error }
 
@@ -79,11 +87,13 @@
 	}
 	now := time.Now()
 	r.Header.Del(callHeader)
+	var digest routing.KeyDigest
+	copy(digest[:], h.GetKeyDigest())
 	return &Call{
 		ID: r.Header.Get(names.RequestID), Route: h.GetRoute(), Service: h.GetService(), Target: h.GetTarget(),
 		Kind: routing.Kinds[h.GetKind()], Priority: int(h.GetPriority()),
 		Objective:     time.Duration(h.GetObjectiveMs()) * time.Millisecond,
-		CallerService: h.GetCallerService(), ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Retry: h.GetRepeat(), Inner: h.GetInner(), TargetLimit: h.GetRateLimit(),
+		CallerService: h.GetCallerService(), Workspace: h.GetWorkspace(), KeyDigest: digest, ConfigVersion: h.GetConfigVersion(), Attempt: int(h.GetAttempt()), Retry: h.GetRepeat(), Inner: h.GetInner(), TargetLimit: h.GetRateLimit(),
 		CallerMbps: float64(h.GetCallerMbps()), Age: time.Duration(h.GetAgeMs()) * time.Millisecond,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: requestBody(r),
 		Received: now, Deadline: now.Add(time.Duration(h.GetLeftUs()) * time.Microsecond),
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"nutmegstand.example/nutmegstand/pkg/proxy/access"
 	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
 	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 	"nutmegstand.example/nutmegstand/pkg/routing"
@@ -29,9 +29,6 @@
 	// pollInterval is the interval at which a waiting request checks for a
 	// target or a configuration.
 	pollInterval = 15 * time.Millisecond
-	// configTimeout bounds the wait for a configuration that a target side
-	// already has.
-	configTimeout = 150 * time.Millisecond
 	// noConfigRetryAfter is the Retry-After time of refusals before the first
 	// configuration has been received.
 	noConfigRetryAfter = 300 * time.Millisecond
@@ -111,7 +108,9 @@
 	mayHaveRun    bool // a target may have run the request
 	parentRetried bool // the request is a call of a run that was itself a retry
 	retryAfter    time.Duration
-	fallback      *AttemptResult // error response of a target, delivered if no later attempt gets a response
+	client        client          // what the request says about its sender
+	denied        access.Decision // why a newer configuration does not allow the request, zero if it does
+	fallback      *AttemptResult  // error response of a target, delivered if no later attempt gets a response
 }
 
 // ServeHTTP implements http.Handler.
@@ -123,6 +122,7 @@
 	}
 	stripReservedHeaders(r.Header)
 	id := r.Header.Get(i.Names.RequestID)
+	credential := i.Names.takeCredential(r.Header)
 	table := i.Config.Load()
 	if table == nil {
 		i.refuse(w, id, "no_config", noConfigRetryAfter, received)
@@ -136,6 +136,12 @@
 		}
 	}
 	route := table.Match(r.Host, r.URL.Path)
+	sender := i.identify(id, credential)
+	decision := sender.decide(table, route)
+	if !decision.Allowed() {
+		i.deny(w, r, decision, received)
+		return
+	}
 	if route == nil {
 		i.reject(w, r, http.StatusNotFound, "no_route", received)
 		return
@@ -151,25 +157,28 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	i.serve(w, r, i.newRequestState(r, table, route, received))
+	s := i.newRequestState(r, sender, received)
+	s.setRoute(table, route, decision)
+	i.serve(w, r, s)
 }
 
-func (i *Ingress) newRequestState(r *http.Request, table *routing.Table, route *routing.Route, received time.Time) *requestState {
+func (i *Ingress) newRequestState(r *http.Request, sender client, received time.Time) *requestState {
 	call := &Call{
 		ID: r.Header.Get(i.Names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header,
-		Body: requestBody(r), CallerService: i.Service, CallerMbps: i.LinkMbps, Received: received,
+		Body: requestBody(r), CallerService: i.Service, CallerMbps: i.LinkMbps, Received: received, Inner: sender.Inner,
+	}
+	return &requestState{
+		ingress: i, call: call, attempted: make(map[string]bool), contacted: make(map[string]bool), client: sender, parentRetried: sender.parentRetried,
 	}
-	s := &requestState{ingress: i, call: call, attempted: make(map[string]bool), contacted: make(map[string]bool)}
-	call.Inner, s.parentRetried = i.Gate.FindParent(call.ID)
-	s.setRoute(table, route)
-	return s
 }
 
-// setRoute applies a route of a configuration to the call.
-func (s *requestState) setRoute(table *routing.Table, route *routing.Route) {
+// setRoute applies a route of a configuration, and the workspace of the request in it, to
+// the call.
+func (s *requestState) setRoute(table *routing.Table, route *routing.Route, decision access.Decision) {
 	s.table, s.route = table, route
 	c := s.call
 	c.Route, c.Kind, c.Priority, c.Objective = route.Name, route.Kind, route.Priority, route.Objective
+	s.setWorkspace(table, decision.Workspace)
 	c.ConfigVersion = table.Version()
 	c.Deadline = c.Received.Add(route.Timeout)
 	if left, ok := parseTimeLeft(c.Header.Get(s.ingress.Names.TimeLeft)); ok {
@@ -183,19 +192,6 @@
 	c.Service = pickService(route.Split)
 }
 
-// maxTimeLeft is the longest remaining time of a caller that is accepted.
-const maxTimeLeft = 24 * time.Hour
-
-// parseTimeLeft returns the remaining time of a caller, in milliseconds, and whether it
-// is one.
-func parseTimeLeft(value string) (time.Duration, bool) {
-	ms, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(math.Abs(ms) <= float64(maxTimeLeft.Milliseconds())) { // also false for NaN
-		return 0, false
-	}
-	return time.Duration(ms * float64(time.Millisecond)), true
-}
-
 func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, s *requestState) {
 	if s.call.Body != nil {
 		if err := s.call.Body.Prefetch(); err != nil {
@@ -222,6 +218,9 @@
 			eventAnswerCut.Log(i.Logger, zap.String("request", s.call.ID), zap.Error(err))
 			panic(http.ErrAbortHandler)
 		}
+	case !s.mayHaveRun && !s.denied.Allowed():
+		s.finish(string(s.denied.Reason), s.denied.Status())
+		writeDenial(w, s.denied)
 	case !s.mayHaveRun:
 		s.finish("refused", http.StatusServiceUnavailable)
 		writeRetryAfter(w, max(s.retryAfter, defaultRetryAfter))
@@ -392,32 +391,6 @@
 	return time.Until(s.call.Deadline) > needed
 }
 
-// rematch waits for the newer configuration that a target side already has, and
-// applies its route to the call. It reports false if the configuration does not
-// arrive in time or has no route for the request.
-func (s *requestState) rematch(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
-	path, _, _ := strings.Cut(s.call.URI, "?")
-	for s.refusalCount < maxRefusals {
-		if table := s.ingress.Config.Load(); table.Version() > s.call.ConfigVersion {
-			route := table.Match(s.call.Host, path)
-			if route == nil {
-				return false
-			}
-			s.setRoute(table, route)
-			clear(s.attempted)
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(pollInterval):
-		}
-	}
-	return false
-}
-
 // addStep adds a step to the log of the request.
 func (s *requestState) addStep(step string) { s.steps = append(s.steps, strings.TrimSpace(step)) }
 
@@ -428,7 +401,7 @@
 	eventRequest.Log(s.ingress.Logger, zap.String("request", s.call.ID), zap.String("result", result), zap.Int("status", status),
 		zap.String("route", s.call.Route), zap.String("service", s.call.Service), zap.Uint64("config", s.call.ConfigVersion),
 		zap.Strings("attempts", s.steps), zap.Duration("took", took),
-		zap.Duration("budget", s.call.Deadline.Sub(s.call.Received)))
+		zap.Duration("budget", s.call.Deadline.Sub(s.call.Received)), s.workspaceField())
 }
 
 // refuse responds with 503 and Retry-After to a request that was not run.
--- a/pkg/proxy/proxytest/target.go
+++ b/pkg/proxy/proxytest/target.go
@@ -19,6 +19,7 @@
 var Names = proxy.HeaderNames{
 	RequestID: "X-Request-Id", TimeLeft: "X-Time-Left", Signature: "X-Signature", ExpectedTarget: "X-Target",
 	NotRun: "X-Not-Run", CallerService: "X-Caller", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving",
+	Key: "X-Key", Workspace: "X-Workspace",
 }
 
 // Request is a request that a target has received.
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -56,6 +56,7 @@
 	header.Set(g.Names.TimeLeft, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
 	header.Set(g.Names.ExpectedTarget, target.ID)
 	header.Set(g.Names.CallerService, call.CallerService)
+	g.Names.setWorkspace(header, call.Workspace)
 	return &outboundRequest{
 		method: call.Method, uri: call.URI, host: call.Host, header: header, body: call.Body,
 		idHeader: g.Names.RequestID, id: call.ID, notRunHeader: g.Names.NotRun, once: !call.Kind.Repeatable(),
--- a/test/platform/names_test.go
+++ b/test/platform/names_test.go
@@ -16,7 +16,7 @@
 	"Attempt-Id", "Time-Remaining", "Response-Signature", "Expected-Instance", "Not-Executed", "Calling-Service", "Instance-Id",
 	"/v1/instances", "/v1/readiness", "warmup_left_ms", "heartbeat_addr", "resource_type", "path_prefix",
 	"target_latency_ms", "weighted_split", "max_attempts", "created_rev", "at_rev", "has_more", "delete_requested",
-	"config/main", "rollouts/", "rolled_back", `duration_s"`,
+	"X-Api-Key", "Tenant-Name", "api_keys", "auth_exempt", "rate_per_s", "burst_size", "config/main", "rollouts/", "rolled_back", `duration_s"`,
 }
 
 // TestWireNames guards against names from the wire formats of the platform in code
