Test keys across a deployment and in a daemon's process

TestKeysAcrossDeployment changes keys in the store under three daemons with kept connections: withdrawn, moved and added keys take effect at all of them within 2.5 s, a restarted daemon without a configuration answers 503 to known and withdrawn keys, and no key is in the whole log at debug level. TestKeysOfProcess starts the program: header names of the platform, a forged workspace, an ID that looks like an inner call, an exempt route, and no key in the output or the metrics.

--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -43,6 +43,7 @@
 	id       string
 	stop     context.CancelFunc
 	ended    chan error
+	logger   *zap.Logger // nothing is logged if it is nil
 
 	mu       sync.Mutex
 	sequence int
@@ -192,9 +193,13 @@
 func (m *machine) start() {
 	m.t.Helper()
 	objects := platform.NewObjects(m.store)
+	logger := m.logger
+	if logger == nil {
+		logger = zap.NewNop()
+	}
 	n, err := node.New(m.settings, node.Platform{
 		Headers: proxytest.Names, Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
-	}, zap.NewNop())
+	}, logger)
 	assert.NilError(m.t, err)
 	var ctx context.Context
 	ctx, m.stop = context.WithCancel(context.Background())
