Show operators the workspaces of a daemon

What operators saw: nothing told which workspaces a daemon had in force.

nutmegctl workspaces lists name, rate, burst, priority and number of keys, also with -o json, from a new path /workspaces on the metrics address. It shows no key or digest. The event workspaces_changed (2240) has the numbers of changed and removed workspaces of a version that came into force; a version that changes none logs nothing more.

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -52,6 +52,7 @@
 	{"moves", "", "show the moves and their states", defineMoves, false},
 	{"explain", "HOST PATH", "show what the daemon would do with a call", defineExplain, false},
 	{"fleet", "", "show the daemons and targets that a daemon on the users' platform sees", defineFleet, true},
+	{"workspaces", "", "show the workspaces, their limits and numbers of keys", defineWorkspaces, true},
 }
 
 // invocation is one execution of a command.
@@ -89,7 +90,7 @@
 func printUsage(w io.Writer) {
 	fmt.Fprintln(w, "usage: nutmegctl COMMAND [ARGUMENT...] -server ADDRESS -token-file FILE")
 	for _, c := range commands {
-		fmt.Fprintf(w, "  %-8s %-20s %s\n", c.name, c.arguments, c.summary)
+		fmt.Fprintf(w, "  %-10s %-20s %s\n", c.name, c.arguments, c.summary)
 	}
 	fmt.Fprintln(w, "nutmegctl COMMAND -h lists the flags of a command.")
 }
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -61,4 +61,6 @@
 		"The entry of the daemon was written to the store; left is the number of departed targets in it.")
 	eventDepartureNotSaved = telemetry.NewEvent(2226, "departure_not_saved", zapcore.WarnLevel,
 		"The departure of a target could not be stored; it is retried, and the target is told to ask again.")
+	eventWorkspacesChanged = telemetry.NewEvent(2240, "workspaces_changed", zapcore.InfoLevel,
+		"A newer configuration changed workspaces or their keys; the event has the numbers of changed and removed workspaces, and of all workspaces and keys.")
 )
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -252,7 +252,9 @@
 	n.startPart("daemons", func() error { return n.daemons.serve(n.listeners["daemons"]) })
 	if listener := n.listeners["metrics"]; listener != nil {
 		n.startPart("metrics", func() error {
-			return telemetry.ServeMetrics(ctx, listener, n.metrics, map[string]http.HandlerFunc{fleetview.Path: n.serveView})
+			return telemetry.ServeMetrics(ctx, listener, n.metrics, map[string]http.HandlerFunc{
+				fleetview.Path: n.serveView, fleetview.WorkspacesPath: n.serveWorkspaces,
+			})
 		})
 	}
 }
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
+	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
 // view returns the fleet as this daemon sees it.
@@ -62,3 +65,24 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(n.view()) // fails if the caller has left
 }
+
+// workspaceView returns the workspaces of a configuration in force, nil before the first.
+func workspaceView(daemon string, table *routing.Table) fleetview.Workspaces {
+	v := fleetview.Workspaces{Daemon: daemon, ConfigVersion: table.Version(), Workspaces: []fleetview.Workspace{}}
+	if table == nil {
+		return v
+	}
+	for _, w := range table.Config.Workspaces {
+		v.Workspaces = append(v.Workspaces, fleetview.Workspace{
+			Name: w.Name, Rate: w.Rate, Burst: w.Burst, Priority: w.Priority, Keys: len(w.Keys),
+		})
+	}
+	slices.SortFunc(v.Workspaces, func(a, b fleetview.Workspace) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+// serveWorkspaces is the HTTP handler of fleetview.WorkspacesPath.
+func (n *Node) serveWorkspaces(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(workspaceView(n.settings.Name, n.config.Load())) // fails if the caller has left
+}
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -206,9 +206,11 @@
 // push, the new version is pushed to all peers; otherwise the next exchanges
 // advertise it.
 func (n *Node) applyConfig(config *routing.Config, push bool) {
+	before := n.config.Load()
 	if !n.config.Advance(config) {
 		return
 	}
+	n.logWorkspaces(before, config)
 	n.history.Add(config)
 	eventConfigInForce.Log(n.logger, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)), zap.Bool("from_store", push))
 	if push {
--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -115,3 +115,10 @@
 	}
 	return append(next, set...)
 }
+
+// CountChanges returns the numbers of workspaces that are new or changed, and of those
+// that were removed.
+func CountChanges(old, next []*Workspace) (changed, removed int) {
+	set, names := diffWorkspaces(old, next)
+	return len(set), len(names)
+}
