--- a/pkg/fleet/datagram.go
+++ b/pkg/fleet/datagram.go
@@ -202,5 +202,6 @@
 	if message.GetJoined() {
 		f.replyToJoin(message.GetFrom())
 	}
+	f.handlePermits(message)
 	return nil
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -59,6 +59,12 @@
 	// HandleStoreContact is called when a peer reports that the store has just
 	// answered its watch of the configuration.
 	HandleStoreContact func(from string)
+	// HandlePermitRequests is called with the requests of a peer for permits and
+	// returns the answers. It is nil if the daemon grants none.
+	HandlePermitRequests func(from string, requests []*pb.PermitRequest) []*pb.PermitGrant
+	// HandlePermitGrants is called with the answers of a peer. It is nil if the daemon
+	// requests no permits.
+	HandlePermitGrants func(from string, grants []*pb.PermitGrant)
 }
 
 // Fleet replicates the table between the daemons.
