Hold the limits of workspaces where the settings bound them

What callers saw: all requests of a workspace run, also far above its limit. Cause: no daemon asked for permission before it sent a request to a target. Change: the caller side asks a Limiter for a permit once for each request of a workspace; over the limit the answer is 429 with the time until the next permit, without an accountant 503, and a request that did not run returns its permit. The settings section workspaceLimits (window, overrun, slack) enables it; without the section nothing is built or sent. No request has a workspace and no workspace a limit until the configuration has them.

--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -183,6 +183,7 @@
 			candidates = append(candidates, fleet.Candidate{Name: name, LinkMbps: entry.LinkMbps, Cores: entry.Cores})
 		}
 	}
+	n.listedDaemons.Store(int64(len(candidates)))
 	ranked := fleet.RankCandidates(watcherRole, candidates)
 	n.watcherEligible.Store(slices.Index(ranked, n.settings.Name) < watcherCount)
 	time.AfterFunc(watcherDelay, func() { n.watcherEligible.Store(true) })
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
 	"nutmegstand.example/nutmegstand/pkg/link"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
+	"nutmegstand.example/nutmegstand/pkg/quota"
 	"nutmegstand.example/nutmegstand/pkg/rollout"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 	"nutmegstand.example/nutmegstand/pkg/telemetry"
@@ -70,10 +71,13 @@
 	target     *targetTracker
 	entry      *storedEntry
 	callers    *proxy.CallerServer
+	limiter    *quota.Limiter // nil if the settings have no bounds for workspaces
 	daemons    *server
 
 	budget          *proxy.RetryBudget
 	stopGrace       atomic.Int64 // nanoseconds from the stop signal to the kill
+	quotaMembers    *quota.Members
+	listedDaemons   atomic.Int64 // daemons in the store at the start, 0 if they were not listed
 	registered      atomic.Bool  // the local entry is in the store and the listed peers were contacted
 	watcherEligible atomic.Bool  // the role of operator watcher may be taken
 	leaving         atomic.Bool
@@ -123,6 +127,9 @@
 		return nil, &StartError{"metrics", err}
 	}
 	n.buildMoves()
+	if err = n.buildLimiter(); err != nil {
+		return nil, &StartError{"metrics", err}
+	}
 	n.buildProxy(instruments)
 	return n, nil
 }
@@ -203,7 +210,7 @@
 	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), n.table.LiveCount)
 	ingress := proxy.NewIngress(proxy.IngressOptions{
 		Names: n.platform.Headers, Service: s.Service, LinkMbps: s.LinkMbps, Config: &n.config, Directory: view, Versions: n.moves,
-		Recorder: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers,
+		Recorder: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers, Limiter: n.ingressLimiter(),
 		Budget: n.budget, Leaving: n.leaving.Load, Refusing: n.refusing.Load, Logger: n.logger, Metrics: instruments,
 	})
 	n.callers = proxy.NewCallerServer(proxy.CallerServerOptions{
@@ -246,6 +253,9 @@
 	n.startPart("configuration", func() error { n.configWatcher().run(ctx); return nil })
 	n.startPart("orders", func() error { n.orderWatcher().run(ctx); return nil })
 	n.startPart("moves", func() error { n.controller.Run(ctx); return nil })
+	if n.limiter != nil {
+		n.startPart("workspace limits", func() error { n.observeMembers(ctx); return nil })
+	}
 	n.startPart("refresh", func() error { n.refresh(ctx); return nil })
 	n.startPart("callers", func() error { return n.callers.Serve(n.listeners["callers"]) })
 	n.startPart("daemons", func() error { return n.daemons.serve(n.listeners["daemons"]) })
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -36,6 +36,7 @@
 	Priority      int
 	Objective     time.Duration
 	CallerService string
+	Workspace     string // whose limit the request counts toward, empty if none
 	ConfigVersion uint64
 	CallerMbps    float64       // link speed of the caller's machine, 0 if unknown
 	Age           time.Duration // estimated time since the caller first sent the request, 0 for inner calls
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"nutmegstand.example/nutmegstand/pkg/quota"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -63,6 +64,7 @@
 	Budget    *RetryBudget
 	Gate      *Gate
 	Peers     *Peers
+	Limiter   Limiter     // nil if workspaces have no limits
 	Leaving   func() bool // reports whether the daemon is about to stop
 	Refusing  func() bool // reports whether new requests could not complete before the stop
 	Logger    *zap.Logger
@@ -102,6 +104,7 @@
 	sentCount     int             // attempts that may have reached a target
 	refusalCount  int
 	mayHaveRun    bool // a target may have run the request
+	permit        quota.Permit
 	parentRetried bool // the request is a call of a run that was itself a retry
 	retryAfter    time.Duration
 	fallback      *AttemptResult // error response of a target, delivered if no later attempt gets a response
@@ -203,8 +206,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), s.call.Deadline)
 	defer cancel()
+	if !s.acquire(ctx, w, r) {
+		return
+	}
 	result := s.attempts(ctx)
 	defer result.Close()
+	s.releaseUnused(result)
 	switch {
 	case r.Context().Err() != nil:
 		s.finish("caller_gone", 0)
@@ -431,11 +438,6 @@
 	writeRetryAfter(w, retryAfter)
 }
 
-func writeRetryAfter(w http.ResponseWriter, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	writeEmpty(w, http.StatusServiceUnavailable)
-}
-
 // reject responds with the given status to a request that must not be sent to
 // any target.
 func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string, received time.Time) {
--- a/pkg/proxy/response.go
+++ b/pkg/proxy/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -26,6 +27,17 @@
 	w.WriteHeader(status)
 }
 
+func writeRetryAfter(w http.ResponseWriter, after time.Duration) {
+	writeRefusal(w, http.StatusServiceUnavailable, after)
+}
+
+// writeRefusal responds to a request that was not run, with the time after which to
+// repeat it.
+func writeRefusal(w http.ResponseWriter, status int, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	writeEmpty(w, status)
+}
+
 // writeResponse writes a target's response. After an error the caller may have
 // received part of it, and its connection must be closed.
 func writeResponse(w http.ResponseWriter, result *AttemptResult) error {
--- a/pkg/quota/accountant.go
+++ b/pkg/quota/accountant.go
@@ -14,8 +14,8 @@
 	// all daemons apply a new configuration (2.5 s), so that a lowered limit binds then.
 	longLapse = 2 * time.Second
 	// bucketIdle is the time without requests after which a bucket is removed. It is
-	// longer than the bounds' window and any lapse, so that a new one may be full.
-	bucketIdle = 10 * time.Second
+	// longer than any window and any lapse, so that a new one may be full.
+	bucketIdle = viewRetention
 	// answerAge is the time for which the answer to a request is kept.
 	answerAge = time.Second
 )
@@ -156,7 +156,7 @@
 	if b.fill.Rate <= 0 {
 		return uint32(maxRetryAfter.Milliseconds())
 	}
-	wait := (1 - b.tokens + b.refused) / b.fill.Rate
+	wait := b.nextToken().Seconds() + b.refused/b.fill.Rate
 	b.refused = min(b.refused+float64(wanted), maxRetryAfter.Seconds()*b.fill.Rate)
 	return uint32(max(1, min(math.Ceil(wait*1000), float64(maxRetryAfter.Milliseconds()))))
 }
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -92,3 +92,20 @@
 	}
 	b.lots[class] = append(lots, lot{at, count})
 }
+
+// nextToken returns the time until the bucket has a whole token.
+func (b *bucket) nextToken() time.Duration {
+	c := *b // refill does not change the lots themselves
+	for {
+		class, ok := c.nextLapse()
+		ready := c.at.Add(time.Duration((1 - c.tokens) / c.fill.Rate * float64(time.Second)))
+		hasRoom := c.fill.Burst-float64(c.outstanding) >= 1
+		switch {
+		case hasRoom && (!ok || ready <= c.lots[class][0].lapse):
+			return max(0, ready.Sub(b.at))
+		case !ok:
+			return maxRetryAfter
+		}
+		c.refill(c.lots[class][0].lapse, c.fill)
+	}
+}
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -30,11 +30,17 @@
 	// members have returned. The accountants of the former parts of the fleet have
 	// ranked each other by then (joinDelay), and their permits have lapsed.
 	shareDelay = joinDelay + longLapse
-	// viewRetention is the age up to which earlier rankings are kept.
-	viewRetention = 10 * time.Second
+	// viewRetention is the age up to which earlier rankings are kept. It is longer than
+	// any window, so that the permits of a former accountant do not count any more.
+	viewRetention = 70 * time.Second
+	// maxViews bounds the number of earlier rankings that are kept.
+	maxViews = 64
 	// knownRetention is the time for which a member without a heartbeat counts as known.
 	// It outlasts most partitions; the table forgets silent members earlier (90 s).
 	knownRetention = 10 * time.Minute
+	// expectedRetention is the uptime up to which the number of registered daemons
+	// counts. Some of them may have been replaced.
+	expectedRetention = 90 * time.Second
 	// observeInterval is the age of the last observation above which the members are
 	// read again before a decision.
 	observeInterval = 100 * time.Millisecond
@@ -181,7 +187,7 @@
 
 // dropOldViews removes the views whose period ended before viewRetention.
 func (m *Members) dropOldViews(now clock.Instant) {
-	for len(m.views) > 1 && now.Sub(m.views[1].at) > viewRetention {
+	for len(m.views) > maxViews || len(m.views) > 1 && now.Sub(m.views[1].at) > viewRetention {
 		m.views = slices.Delete(m.views, 0, 1)
 	}
 }
@@ -201,7 +207,7 @@
 	maps.DeleteFunc(m.known, func(_ string, seen clock.Instant) bool { return now.Sub(seen) > knownRetention })
 	known := len(m.known)
 	expected, registered := m.source.Expected()
-	if now.Sub(m.startedAt) < knownRetention {
+	if now.Sub(m.startedAt) < expectedRetention {
 		known = max(known, expected)
 	}
 	value := 0.0
