--- a/pkg/quota/limit.go
+++ b/pkg/quota/limit.go
@@ -34,18 +34,13 @@
 // capacity is the largest sum of the tokens and the outstanding permits of a bucket.
 func (b Bounds) capacity(l Limit) float64 { return l.Burst + b.spare(l)/2 }
 
-const (
-	// reserveHolders is the number of daemons that may grant from a reserve at the
-	// same time: the first of the ranking before it is in charge, and the second.
-	reserveHolders = 2
-	// reserveBurst is the part of a reserve that may be granted at once; the rest
-	// becomes available over one window.
-	reserveBurst = 0.5
-)
+// reserveBurst is the part of a reserve that may be granted at once; the rest becomes
+// available over one window.
+const reserveBurst = 0.5
 
 // reserve returns the burst and the rate at which a daemon that is not in charge
-// grants.
+// grants. At most one daemon does so at a time.
 func (b Bounds) reserve(l Limit) Limit {
-	total := (b.spare(l)/2 + b.Overrun*l.Burst) / reserveHolders
+	total := b.spare(l)/2 + b.Overrun*l.Burst
 	return Limit{Burst: total * reserveBurst, Rate: total * (1 - reserveBurst) / b.Window.Seconds()}
 }
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -20,9 +20,12 @@
 	// ranking before it is in charge. With freshAfter and the silence of 3 s it covers
 	// heartbeats that are up to 2 s old in one table and fresh in another.
 	takeoverDelay = time.Second
-	// startDelay is the uptime before which a daemon is not in charge. Its table is
-	// not complete before, and its predecessor may not know it yet.
-	startDelay = 3 * time.Second
+	// tableDelay is the uptime after which the table is expected to be complete. The
+	// share of the connected members is not known before.
+	tableDelay = 1500 * time.Millisecond
+	// startDelay is the uptime before which a daemon grants nothing. Its predecessor
+	// ranks it by then.
+	startDelay = tableDelay + joinDelay
 	// joinDelay is the time for which a member must be known before it is ranked. The
 	// previous accountant continues meanwhile.
 	joinDelay = 2 * time.Second
@@ -214,6 +217,9 @@
 	if registered && known > 0 {
 		value = float64(connected) / float64(known)
 	}
+	if now.Sub(m.startedAt) < tableDelay {
+		m.shares = nil
+	}
 	if n := len(m.shares); n == 0 || m.shares[n-1].value != value {
 		m.shares = append(m.shares, share{now, value})
 	}
@@ -272,28 +278,27 @@
 	m.refresh(now)
 	top := m.views[len(m.views)-1].accountants(workspace)
 	uptime := min(now.Sub(m.startedAt), viewRetention)
-	switch {
-	case top[0] != m.self && top[1] != m.self:
+	if top[0] != m.self && top[1] != m.self || uptime < startDelay {
 		return noRole, 0
-	case top[0] != m.self:
-		return reserving, uptime
 	}
-	first := m.firstFor(now, workspace)
-	if uptime < startDelay || first < takeoverDelay {
+	first := m.firstFor(now, workspace, top[0])
+	switch {
+	case top[0] != m.self && first < takeoverDelay:
+		return noRole, 0 // the first grants from its reserve
+	case top[0] != m.self || first < takeoverDelay:
 		return reserving, uptime
-	}
-	if first < viewRetention {
+	case first < viewRetention:
 		first = min(first-takeoverDelay, uptime-startDelay)
 	}
 	return inCharge, first
 }
 
-// firstFor returns the time for which the local daemon has been the first of the
-// ranking, at most viewRetention.
-func (m *Members) firstFor(now clock.Instant, workspace string) time.Duration {
+// firstFor returns the time for which a daemon has been the first of the ranking, at
+// most viewRetention.
+func (m *Members) firstFor(now clock.Instant, workspace, name string) time.Duration {
 	since := now
 	for _, v := range slices.Backward(m.views) {
-		if v.accountants(workspace)[0] != m.self {
+		if v.accountants(workspace)[0] != name {
 			return now.Sub(since)
 		}
 		since = v.at
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -55,6 +55,7 @@
 	group       int // nodes in different groups cannot reach each other
 	process     int // incremented with each restart
 	pausedUntil clock.Instant
+	retired     bool // announced at once to all
 	heard       map[string]heartbeat // newest known heartbeat by daemon
 	members     *Members
 	accountant  *Accountant
@@ -108,7 +109,7 @@
 			known, age = true, 0
 		}
 		if known {
-			members = append(members, Member{Candidate: fleet.Candidate{Name: other.name}, Live: age <= 3*time.Second, HeartbeatAge: age})
+			members = append(members, Member{Candidate: fleet.Candidate{Name: other.name}, Live: age <= 3*time.Second, Retired: other.retired, HeartbeatAge: age})
 		}
 	}
 	return members
