State a longer time to retry when many requests were refused

Cause: the refused requests counted as if the whole rate served their repetitions, and the time was cut at 5 s, so that many came back at once. Change: 0.4 of the rate is expected to be left for repetitions, and the time is cut at 10 s.

--- a/pkg/quota/accountant.go
+++ b/pkg/quota/accountant.go
@@ -161,8 +161,13 @@
 	return uint32(max(1, min(math.Ceil(wait*1000), float64(maxRetryAfter.Milliseconds()))))
 }
 
-// maxRetryAfter bounds the time after which a refused request is to be repeated.
-const maxRetryAfter = 5 * time.Second
+const (
+	// maxRetryAfter bounds the time after which a refused request is to be repeated.
+	maxRetryAfter = 10 * time.Second
+	// returnShare is the part of the rate that is expected to be left for repeated
+	// requests, as limits are about 1.6 times the usual demand.
+	returnShare = 0.4
+)
 
 // PermitRequest.wanted has the permits for waiting requests in its lower 16 bits and
 // the spare ones above them.
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -71,7 +71,7 @@
 func (b *bucket) add(now clock.Instant, l Limit) {
 	passed := max(0, now.Sub(b.at)).Seconds()
 	b.tokens = max(0, min(b.tokens+l.Rate*passed, l.Burst-float64(b.outstanding)))
-	b.refused = max(0, b.refused-l.Rate*passed)
+	b.refused = max(0, b.refused-returnShare*l.Rate*passed)
 	b.at = max(b.at, now)
 }
 
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -55,7 +55,7 @@
 	group       int // nodes in different groups cannot reach each other
 	process     int // incremented with each restart
 	pausedUntil clock.Instant
-	retired     bool // announced at once to all
+	retired     bool                 // announced at once to all
 	heard       map[string]heartbeat // newest known heartbeat by daemon
 	members     *Members
 	accountant  *Accountant
