--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 	"nutmegstand.example/nutmegstand/pkg/proxy/access"
 	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
 	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
+	"nutmegstand.example/nutmegstand/pkg/quota"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -67,6 +67,7 @@
 	Budget    *RetryBudget
 	Gate      *Gate
 	Peers     *Peers
+	Limiter   Limiter     // nil if workspaces have no limits
 	Leaving   func() bool // reports whether the daemon is about to stop
 	Refusing  func() bool // reports whether new requests could not complete before the stop
 	Logger    *zap.Logger
@@ -106,6 +107,7 @@
 	sentCount     int             // attempts that may have reached a target
 	refusalCount  int
 	mayHaveRun    bool // a target may have run the request
+	permit        quota.Permit
 	parentRetried bool // the request is a call of a run that was itself a retry
 	retryAfter    time.Duration
 	client        client          // what the request says about its sender
@@ -206,11 +208,15 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), s.call.Deadline)
 	defer cancel()
+	if !s.acquire(ctx, w, r) {
+		return
+	}
 	result := s.attempts(ctx)
 	defer result.Close()
 	if s.call.Inner && (result == nil || result.Status >= http.StatusInternalServerError) {
 		i.Gate.RecordInnerFailure(s.call.ID)
 	}
+	s.releaseUnused(result)
 	switch {
 	case r.Context().Err() != nil:
 		s.finish("caller_gone", 0)
@@ -402,11 +408,6 @@
 	writeRetryAfter(w, retryAfter)
 }
 
-func writeRetryAfter(w http.ResponseWriter, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	writeEmpty(w, http.StatusServiceUnavailable)
-}
-
 // reject responds with the given status to a request that must not be sent to
 // any target.
 func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string, received time.Time) {
