Hold the rate that a cold target tolerates

A target that had just started got requests at the rate of a warm one and crashed again. Nothing limited it: the configuration's rate for cold targets was not decoded, and only the caller's cost estimate knew of the cold phase.

The gate now limits its target to the configured rate while the last heartbeat says that it is cold, and while its state is unknown: after a lost connection (refused, reset, or closed within a response or before its idle limit) or the end of an evacuation, until a later heartbeat. A rate that the target names itself holds together with it; the lower one counts and is reported in Load. A call whose slot was granted before the loss is refused instead of being sent on a new connection.

Caller sides prefer warm targets, but give a cold one a share of its own, which halves with each refusal and grows again with each response. The cold phase is published again if its end moves: a target that became cold again within a cold phase kept its first end at all peers.

--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -15,6 +15,9 @@
 	// maxMissedHeartbeats is the number of heartbeat intervals without an
 	// announcement after which a target counts as down.
 	maxMissedHeartbeats = 4
+	// maxWarmupDrift is the difference in the end of the cold phase from which on it is
+	// published again.
+	maxWarmupDrift = time.Second
 )
 
 // targetTracker tracks the announcements of the local target and publishes its state
@@ -36,6 +39,7 @@
 	leaving          bool
 	silent           bool
 	lastAnnouncement clock.Instant
+	publishedWarmAt  clock.Instant // end of the cold phase in the published state
 }
 
 var _ AnnouncementHandler = (*targetTracker)(nil)
@@ -154,7 +158,10 @@
 		return
 	}
 	if !t.leaving {
-		t.gate.SetTarget(proxy.LocalTarget{ID: a.ID, Service: a.Service, Version: a.Version, Address: t.address, Slots: a.Slots})
+		t.gate.SetTarget(proxy.LocalTarget{
+			ID: a.ID, Service: a.Service, Version: a.Version, Address: t.address, Slots: a.Slots,
+			HeardAt: t.lastAnnouncement, WarmupLeft: a.WarmupLeft,
+		})
 	}
 	if a.Leaving {
 		t.startLeaving()
@@ -217,13 +224,23 @@
 	if a.WarmupLeft > 0 {
 		state.WarmupLeftMS = a.WarmupLeft.Milliseconds()
 	}
-	t.update(func(s *fleet.State) {
-		if s.Target != nil && s.Target.ID == state.ID && s.Target.WarmupLeftMS > 0 && state.WarmupLeftMS > 0 {
-			// The remaining cold start counts from its first publication.
-			state.WarmupLeftMS = s.Target.WarmupLeftMS
+	t.update(func(s *fleet.State) { s.Target = t.withPublishedWarmup(s.Target, state) })
+}
+
+// withPublishedWarmup returns the state to publish. If only the remaining cold phase
+// differs from the published state, and both end at about the same time, the published
+// state stays, since peers count the cold phase from its publication.
+func (t *targetTracker) withPublishedWarmup(published, next *fleet.Target) *fleet.Target {
+	warmAt := t.lastAnnouncement.Add(time.Duration(next.WarmupLeftMS) * time.Millisecond)
+	if published != nil && published.WarmupLeftMS > 0 && next.WarmupLeftMS > 0 && warmAt.Sub(t.publishedWarmAt).Abs() <= maxWarmupDrift {
+		unchanged := *next
+		unchanged.WarmupLeftMS = published.WarmupLeftMS
+		if unchanged == *published {
+			return published
 		}
-		s.Target = state
-	})
+	}
+	t.publishedWarmAt = warmAt
+	return next
 }
 
 // refresh publishes the state of the target after a change in the gate.
--- a/pkg/node/target_test.go
+++ b/pkg/node/target_test.go
@@ -150,3 +150,28 @@
 	assert.Assert(t, tracker.HandleAnnouncement(announcement("t", 5, 8)))
 	assert.Assert(t, tracker.state.Target.Leaving, "a heartbeat made it available again")
 }
+
+// TestPublishedColdPhase guards against peers that take a target for warm after it has
+// become cold again, and against a publication with each heartbeat of a cold phase.
+func TestPublishedColdPhase(t *testing.T) {
+	tracker := newTrackerTest()
+	c := tracker.targetTracker.clock.(*clock.Manual)
+	tracker.release()
+	sequence := int64(0)
+	hear := func(left time.Duration) int64 {
+		c.Advance(time.Second)
+		sequence++
+		a := announcement("t", 5, sequence)
+		a.WarmupLeft = left
+		tracker.HandleAnnouncement(a)
+		return tracker.state.Target.WarmupLeftMS
+	}
+	assert.Equal(t, hear(20*time.Second), int64(20000))
+	published := tracker.state.Target
+	assert.Equal(t, hear(19*time.Second), int64(20000))
+	assert.Assert(t, tracker.state.Target == published, "the same end was published again")
+	assert.Equal(t, hear(30*time.Second), int64(30000), "cold again within the cold phase")
+	tracker.handleLeaving("t")
+	assert.Assert(t, tracker.state.Target.Leaving)
+	assert.Equal(t, hear(0), int64(0))
+}
--- a/pkg/proxy/admission/queue.go
+++ b/pkg/proxy/admission/queue.go
@@ -73,6 +73,8 @@
 	closeReason string                   // reason of every refusal once closed, empty while open
 	rate        *rate.Limiter            // of the limit that the target names, nil while it names none
 	rateNamed   bool                     // a response of the target has told whether it names a limit
+	coldRate    *rate.Limiter            // of the limit that holds while the target is cold, nil before it was cold
+	cold        bool                     // coldRate holds
 	rateTimer   *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
 }
 
@@ -234,8 +236,8 @@
 	load := &attempt.Load{
 		Busy: q.busy, Queued: len(q.waiting), Slots: q.slots, ServiceTime: q.serviceTime, Wait: q.expectedWait(len(q.waiting)),
 	}
-	if q.rate != nil {
-		load.RateLimit, load.RateWait = float64(q.rate.Limit()), q.rateWait(len(q.waiting))
+	if limit := q.lowestRate(); limit > 0 {
+		load.RateLimit, load.RateWait = limit, q.rateWait(len(q.waiting))
 	}
 	return load
 }
--- a/pkg/proxy/admission/rate.go
+++ b/pkg/proxy/admission/rate.go
@@ -58,18 +58,6 @@
 	return before
 }
 
-// takeRate reports whether the rate allows a request now, which then counts.
-func (q *Queue) takeRate() bool { return q.rate == nil || q.rate.Allow() }
-
-// rateWait returns the time until the rate allows a request that comes after n others.
-func (q *Queue) rateWait(n int) time.Duration {
-	if q.rate == nil {
-		return 0
-	}
-	missing := float64(n+1) - q.rate.Tokens()
-	return max(0, time.Duration(missing/float64(q.rate.Limit())*float64(time.Second)))
-}
-
 // grantAfter schedules the next grant.
 func (q *Queue) grantAfter(wait time.Duration) {
 	if q.rateTimer != nil {
--- a/pkg/proxy/balance/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -82,6 +82,7 @@
 	Slots      int
 	LinkMbps   float64   // of the target's machine, 0 if unknown
 	WarmAt     time.Time // end of the cold start
+	ColdRate   float64   // requests per second that the target tolerates until WarmAt, 0 for no limit
 	Available  bool      // not leaving, down or silent
 }
 
@@ -96,6 +97,7 @@
 	consecutiveFailures int
 	pausedUntil         time.Time
 	usedAt              time.Time
+	cold                coldShare
 }
 
 // Result is the result of an attempt.
@@ -166,6 +168,7 @@
 			best, shortest = e, cost
 		}
 	}
+	best = b.preferDue(request, endpoints, best, now)
 	if best == nil {
 		best = paused
 	}
@@ -196,6 +199,9 @@
 		t *= coldStartFactor
 	}
 	wait := float64(s.rateTime(freshness))
+	if e.cold(now) && s.load.RateLimit == 0 {
+		wait = float64(s.callsSinceLoad) / e.ColdRate * float64(time.Second)
+	}
 	if occupied >= slots {
 		serviceTime := float64(s.load.ServiceTime)
 		if serviceTime == 0 {
@@ -300,6 +306,7 @@
 	now := time.Now()
 	s := b.statsFor(e.Target)
 	s.inFlight--
+	s.cold.record(e, result, now)
 	if result.Took > 0 && (!result.Refused || result.Waited == 0 && !result.QueueFull) {
 		s.recordOverhead(e, result, b.responseKB[request.Route])
 	}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -96,6 +96,7 @@
 	ReasonStaleConfig = "stale_config"             // the configuration of the caller side is out of date
 	ReasonSuspect     = "suspect"                  // the request has been in flight during several target crashes
 	ReasonTargetDown  = "target_down"              // the target does not accept connections
+	ReasonEvacuated   = "evacuated"                // the failure domain of the target is being evacuated
 	ReasonCallerGone  = admission.ReasonCallerGone // the caller disconnected
 )
 
--- a/pkg/proxy/events.go
+++ b/pkg/proxy/events.go
@@ -23,4 +23,6 @@
 		"The HTTP server reported a problem with a connection.")
 	eventRateLimit = telemetry.NewEvent(2008, "target_rate_limit", zapcore.InfoLevel,
 		"The local target named another rate limit in a response, or no longer names one (limit 0, in requests per second).")
+	eventColdRate = telemetry.NewEvent(2009, "target_cold_rate", zapcore.InfoLevel,
+		"The local target counts as cold and gets at most limit requests per second, or counts as warm (limit 0); lost tells that its state is unknown since a lost connection.")
 )
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -42,6 +42,10 @@
 	Version string
 	Address string
 	Slots   int
+	// HeardAt is when the last heartbeat of the target was received, and WarmupLeft the
+	// remaining cold phase that it reported.
+	HeardAt    clock.Instant
+	WarmupLeft time.Duration
 }
 
 // VersionPolicy decides which versions of a service may be used.
@@ -57,6 +61,7 @@
 	Versions             VersionPolicy
 	Suspects             *Suspects
 	Uplink               *Uplink
+	Evacuation           Evacuation // of the failure domain, nil if the deployment has none
 	Clock                clock.Clock
 	DrainPeriod          time.Duration // from the acknowledgement that the target leaves until its last request
 	Logger               *zap.Logger
@@ -81,10 +86,17 @@
 	stopping  bool // the daemon stops soon; no call is sent anymore
 	inFlight  map[*Call]struct{}
 	refusals  map[string]int // by reason
+
+	warmth     warmth
+	coldRate   float64 // requests per second that the target gets now, 0 if it is warm
+	coldPhases int     // number of times that the target has become cold
 }
 
 // NewGate returns a gate without a target.
 func NewGate(options GateOptions) *Gate {
+	if options.Evacuation == nil {
+		options.Evacuation = noEvacuation{}
+	}
 	return &Gate{GateOptions: options, inFlight: make(map[*Call]struct{}), refusals: make(map[string]int)}
 }
 
@@ -96,11 +108,15 @@
 	if g.target != nil && g.target.ID == t.ID && g.target.Address == t.Address {
 		g.slots.Resize(t.Slots)
 		g.target, g.down = &t, false
-		return
+	} else {
+		g.closeLocked(ReasonNoTarget)
+		g.target, g.slots, g.conns = &t, admission.NewQueue(t.Slots), newPool(t.Address)
+		g.conns.lost = func() { g.loseConnection(&t) }
+		g.leaveEnd, g.down, g.downUntil = 0, false, 0
+		g.warmth, g.coldRate = warmth{}, 0
 	}
-	g.closeLocked(ReasonNoTarget)
-	g.target, g.slots, g.conns = &t, admission.NewQueue(t.Slots), newPool(t.Address)
-	g.leaveEnd, g.down, g.downUntil = 0, false, 0
+	g.warmth.hear(t.HeardAt, t.WarmupLeft)
+	g.refreshCold(g.Clock.Now())
 }
 
 // SetDrainPeriod changes the drain period of targets that start leaving later.
@@ -187,11 +203,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	g.refreshCold(now)
 	switch {
 	case g.target == nil || g.target.ID != call.Target || g.target.Service != call.Service:
 		return nil, nil, nil, ReasonNoTarget
 	case g.stopping, g.leaveEnd != 0 && now >= g.leaveEnd:
 		return nil, nil, nil, ReasonLeaving
+	case g.evacuated():
+		return nil, nil, nil, ReasonEvacuated
 	case now < g.downUntil:
 		return nil, nil, nil, ReasonTargetDown
 	}
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -21,6 +21,7 @@
 type pool struct {
 	address string
 	closed  bool
+	lost    func() // called when the peer has closed an idle connection before its idle limit, if set
 
 	mu   sync.Mutex
 	idle []*conn
@@ -41,6 +42,7 @@
 			return c, nil
 		}
 		p.discard(c)
+		p.reportLost()
 	}
 	p.count(1) // before the dial, so that the pool is not removed meanwhile
 	c, err := dial(ctx, p.address)
@@ -51,6 +53,14 @@
 	return c, nil
 }
 
+// reportLost reports that the peer has closed an idle connection early, as it does if
+// its process has ended. The caller does not hold mu.
+func (p *pool) reportLost() {
+	if p.lost != nil {
+		p.lost()
+	}
+}
+
 // count changes the number of open connections.
 func (p *pool) count(change int) {
 	p.mu.Lock()
@@ -100,16 +110,27 @@
 // sweep closes the connections that have exceeded their idle limit, and those that the
 // peer has closed or on which it sends bytes that belong to no response.
 func (p *pool) sweep() {
+	if p.removeUnusable() {
+		p.reportLost()
+	}
+}
+
+// removeUnusable reports whether one of the removed connections was closed by the peer
+// before its idle limit.
+func (p *pool) removeUnusable() (lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
-		if time.Since(c.idleSince) <= c.idleLimit() && c.reusable() {
+		expired := time.Since(c.idleSince) > c.idleLimit()
+		if !expired && c.reusable() {
 			return false
 		}
+		lost = lost || !expired
 		_ = c.Close()
 		p.open--
 		return true
 	})
+	return lost
 }
 
 func (p *pool) close() {
--- a/pkg/proxy/proxytest/target.go
+++ b/pkg/proxy/proxytest/target.go
@@ -128,6 +128,15 @@
 	return len(s.conns)
 }
 
+// CloseConns closes all connections, as the end of the process does.
+func (s *Target) CloseConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
 // Crash closes the listener and resets all connections.
 func (s *Target) Crash() {
 	_ = s.listener.Close()
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -21,6 +21,7 @@
 func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission.Queue, conns *pool) *AttemptResult {
 	g.track(call, true)
 	started := time.Now()
+	phase := g.coldPhase()
 	finish := func(ran time.Duration) {
 		g.track(call, false)
 		slots.Release(call.Route, ran)
@@ -32,13 +33,22 @@
 	c, err := conns.get(ctx, maxIdle)
 	if err != nil {
 		finish(0)
-		g.markUnreachable(ctx, err)
+		g.markUnreachable(ctx, target, err)
 		return &AttemptResult{Outcome: Refused, Reason: ReasonTargetDown, RetryAfter: defaultRetryAfter, Load: g.load(slots)}
 	}
 	g.markReachable()
+	if g.coldPhase() != phase {
+		// The slot was granted at the rate of a warm target, which has restarted since.
+		conns.put(c)
+		finish(0)
+		return &AttemptResult{Outcome: Refused, Reason: ReasonQueueFull, RetryAfter: defaultRetryAfter, Load: g.load(slots)}
+	}
 	x, err := c.roundTrip(ctx, g.outboundRequest(call, target))
 	if err != nil {
 		conns.discard(c)
+		if connectionLost(err) {
+			g.loseConnection(target)
+		}
 		g.confirmCrash(err)
 		finish(0)
 		return &AttemptResult{Outcome: Unknown, Reason: err.Error(), Load: g.load(slots)}
@@ -68,7 +78,7 @@
 ) *AttemptResult {
 	r := x.response
 	load := g.load(slots)
-	body := &responseBody{exchange: x, pool: conns, done: func(complete bool) {
+	body := &responseBody{exchange: x, pool: conns, lost: conns.reportLost, done: func(complete bool) {
 		if complete && r.StatusCode < http.StatusInternalServerError {
 			finish(time.Since(started))
 		} else {
@@ -114,6 +124,7 @@
 	exchange *exchange
 	pool     *pool
 	done     func(complete bool)
+	lost     func() // called when the peer has closed the connection within the body, if set
 	once     sync.Once
 }
 
@@ -121,6 +132,9 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.exchange.response.Body.Read(p)
 	if err != nil {
+		if b.lost != nil && !errors.Is(err, io.EOF) && connectionLost(err) {
+			b.lost()
+		}
 		b.end(errors.Is(err, io.EOF))
 	}
 	return n, err
@@ -176,10 +190,11 @@
 	}
 }
 
-func (g *Gate) markUnreachable(ctx context.Context, err error) {
+func (g *Gate) markUnreachable(ctx context.Context, target *LocalTarget, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	g.loseConnection(target)
 	g.mu.Lock()
 	g.downUntil = g.Clock.Now().Add(downRetryInterval)
 	changed := !g.down
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -71,6 +71,11 @@
 	Name        string `json:"name"`
 	HealthPath  string `json:"healthPath"`
 	Connections int    `json:"connections"` // maximum number that one target accepts
+	// ColdTime is how long a target is cold after its start, 0 if it never is.
+	ColdTime time.Duration `json:"coldTime,omitempty"`
+	// ColdRate is the number of requests per second that a cold target tolerates, 0
+	// for no limit.
+	ColdRate float64 `json:"coldRate,omitempty"`
 }
 
 // Limits are the limits on the requests and connections of callers.
