Evacuate failure domains on the operator's order

An operator had no way to take the targets of a failure domain out of use while its daemons go on serving their callers.

Daemons whose settings have evacuationMS watch the operator's evacuations with the same roles and standbys as the configuration, and write them to facts of the fleet, ranked by the store's revision at which the state was known. The end is a fact, too. The directory offers no targets of an evacuated domain, and the gate refuses calls, also those in its queue, with the reason "evacuated". After the end the target counts as cold until a heartbeat that is received later.

Settings without the key cause no further store call.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/evacuation"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
 	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
+	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
 // directoryMaxAge is the age above which the directory is rebuilt even if the version
@@ -21,9 +23,12 @@
 
 // directory provides the table of the fleet as endpoints by service.
 type directory struct {
-	table *fleet.Table
-	clock clock.Clock
-	zone  string
+	table  *fleet.Table
+	clock  clock.Clock
+	zone   string
+	config *routing.Current
+
+	evacuations *evacuation.State
 
 	mu        sync.Mutex
 	version   uint64
@@ -56,19 +61,24 @@
 	d.version, d.builtAt = version, now
 	services := make(map[string][]*balance.Endpoint, len(d.services))
 	endpoints := make(map[string]builtEndpoint, len(d.endpoints))
+	config := d.config.Load()
 	d.table.Each(func(m *fleet.Member) {
 		t := m.State.Target
 		if t == nil {
 			return
 		}
-		available := !t.Leaving && !t.Down && !m.State.Leaving && (m.Self || now.Sub(m.LastHeartbeat) < targetSilentAfter)
+		available := !t.Leaving && !t.Down && !m.State.Leaving && !d.evacuations.InForce(m.State.Zone) && (m.Self || now.Sub(m.LastHeartbeat) < targetSilentAfter)
 		e := d.endpoints[m.Name]
-		if e.state != m.State || e.Available != available {
+		coldRate := 0.0
+		if service := config.Service(t.Service); service != nil && t.WarmupLeftMS > 0 {
+			coldRate = service.ColdRate
+		}
+		if e.state != m.State || e.Available != available || e.ColdRate != coldRate {
 			e = builtEndpoint{m.State, &balance.Endpoint{
 				Daemon: m.Name, Address: m.State.CallAddress, SameDomain: m.State.Zone == d.zone, Local: m.Self,
 				Target: t.ID, Service: t.Service, Version: t.Version, Slots: t.Slots, LinkMbps: m.State.LinkMbps,
-				WarmAt:    time.Now().Add(time.Duration(t.WarmupLeftMS)*time.Millisecond - now.Sub(m.StateChangedAt)),
-				Available: available,
+				WarmAt:   time.Now().Add(time.Duration(t.WarmupLeftMS)*time.Millisecond - now.Sub(m.StateChangedAt)),
+				ColdRate: coldRate, Available: available,
 			}}
 		}
 		endpoints[m.Name] = e
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -59,6 +59,8 @@
 		"A previous process of this daemon acknowledged the departure of the target; the target gets no requests.")
 	eventEntrySaved = telemetry.NewEvent(2225, "entry_saved", zapcore.InfoLevel,
 		"The entry of the daemon was written to the store; left is the number of departed targets in it.")
+	eventEvacuation = telemetry.NewEvent(2227, "evacuation", zapcore.InfoLevel,
+		"The evacuation of a failure domain is in force, or has ended; rank is the store's revision at which that was known.")
 	eventDepartureNotSaved = telemetry.NewEvent(2226, "departure_not_saved", zapcore.WarnLevel,
 		"The departure of a target could not be stored; it is retried, and the target is told to ask again.")
 )
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"nutmegstand.example/nutmegstand/pkg/evacuation"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
 	"nutmegstand.example/nutmegstand/pkg/rollout"
 	"nutmegstand.example/nutmegstand/pkg/routing"
@@ -25,6 +26,12 @@
 	// WatchOrders waits for changed orders until ctx ends. It returns them and the
 	// revision to continue from.
 	WatchOrders(ctx context.Context, from int64) ([]rollout.Order, int64, error)
+	// Evacuations returns the failure domains that the operator evacuates and the store's
+	// revision.
+	Evacuations(ctx context.Context) ([]string, int64, error)
+	// WatchEvacuations waits for evacuations that begin or end until ctx ends. It returns
+	// them in order, and the revision to continue from.
+	WatchEvacuations(ctx context.Context, from int64) ([]evacuation.Event, int64, error)
 	// ReportState reports the state of an order to the operator.
 	ReportState(ctx context.Context, order *rollout.Order, state rollout.State) error
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/evacuation"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
 	"nutmegstand.example/nutmegstand/pkg/link"
@@ -54,24 +55,25 @@
 	tasks    *ants.Pool
 	metrics  *telemetry.Metrics
 
-	config     routing.Current
-	history    fleet.History
-	table      *fleet.Table
-	fleet      *fleet.Fleet
-	store      *storeHealth
-	contacts   *contactLog
-	moves      *rollout.Follower
-	recorder   *rollout.Recorder
-	collector  *rollout.Collector
-	controller *rollout.Controller
-	suspects   *proxy.Suspects
-	balancer   *balance.Balancer
-	peers      *proxy.Peers
-	gate       *proxy.Gate
-	target     *targetTracker
-	entry      *storedEntry
-	callers    *proxy.CallerServer
-	daemons    *server
+	config      routing.Current
+	history     fleet.History
+	table       *fleet.Table
+	fleet       *fleet.Fleet
+	store       *storeHealth
+	contacts    *contactLog
+	moves       *rollout.Follower
+	evacuations *evacuation.State
+	recorder    *rollout.Recorder
+	collector   *rollout.Collector
+	controller  *rollout.Controller
+	suspects    *proxy.Suspects
+	balancer    *balance.Balancer
+	peers       *proxy.Peers
+	gate        *proxy.Gate
+	target      *targetTracker
+	entry       *storedEntry
+	callers     *proxy.CallerServer
+	daemons     *server
 
 	budget          *proxy.RetryBudget
 	stopGrace       atomic.Int64 // nanoseconds from the stop signal to the kill
@@ -117,6 +119,7 @@
 	if err != nil {
 		return nil, &StartError{"metrics", err}
 	}
+	n.evacuations = &evacuation.State{Clock: n.clock}
 	n.startedAt, n.removedEntries = n.clock.Now(), make(map[string]uint64)
 	n.stopGrace.Store(int64(s.StopGrace.Duration()))
 	n.buildFleet()
@@ -188,6 +191,7 @@
 	uplink := proxy.NewUplink(s.LinkMbps)
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		Names: n.platform.Headers, Config: &n.config, Versions: n.moves, Suspects: n.suspects, Uplink: uplink, Clock: n.clock,
+		Evacuation:  evacuation.Domain{State: n.evacuations, Name: s.Domain},
 		DrainPeriod: s.DrainPeriod.Duration(), Logger: n.logger,
 		OnReachabilityChange: func() { n.target.refresh() },
 		OnLeaving:            func(id string) { n.target.handleLeaving(id) },
@@ -200,7 +204,7 @@
 	n.entry = newStoredEntry(entry, n.platform.Store, daemonPrefix+s.Name, n.logger, n.target.handleLeftTarget)
 	n.target.entry = n.entry
 	n.balancer, n.peers = balance.New(n.logger), proxy.NewPeers()
-	view := &directory{table: n.table, clock: n.clock, zone: s.Domain}
+	view := &directory{table: n.table, clock: n.clock, zone: s.Domain, config: &n.config, evacuations: n.evacuations}
 	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), n.table.LiveCount)
 	ingress := proxy.NewIngress(proxy.IngressOptions{
 		Names: n.platform.Headers, Service: s.Service, LinkMbps: s.LinkMbps, Config: &n.config, Directory: view, Versions: n.moves,
@@ -246,6 +250,9 @@
 	n.startPart("departures", func() error { n.entry.run(ctx); return nil })
 	n.startPart("configuration", func() error { n.configWatcher().run(ctx); return nil })
 	n.startPart("orders", func() error { n.orderWatcher().run(ctx); return nil })
+	if n.settings.Evacuation > 0 {
+		n.startPart("evacuations", func() error { n.evacuationWatcher().run(ctx); return nil })
+	}
 	n.startPart("moves", func() error { n.controller.Run(ctx); return nil })
 	n.startPart("refresh", func() error { n.refresh(ctx); return nil })
 	n.startPart("callers", func() error { return n.callers.Serve(n.listeners["callers"]) })
@@ -309,6 +316,7 @@
 			facts := n.table.Facts()
 			n.moves.Refresh(facts)
 			n.applySuspects(facts)
+			n.applyEvacuations(facts)
 		}
 		if ready := n.ready(); ready && !wasReady {
 			wasReady = true
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -48,17 +48,20 @@
 
 // Settings are the contents of the settings file of a daemon.
 type Settings struct {
-	Name             string       `json:"name"`
-	Domain           string       `json:"domain"` // failure domain
-	Service          string       `json:"service"`
-	TargetAddress    string       `json:"targetAddress"`
-	Listen           Listen       `json:"listen"`
-	Advertise        Advertise    `json:"advertise"`
-	Store            string       `json:"store"`
-	FirstStart       bool         `json:"firstStart"`    // all daemons of the deployment start for the first time
-	Heartbeat        Milliseconds `json:"heartbeatMS"`   // interval of the target's heartbeats
-	DrainPeriod      Milliseconds `json:"drainPeriodMS"` // from the acknowledged departure of the target to its last request
-	StopGrace        Milliseconds `json:"stopGraceMS"`   // from the stop signal to the kill
+	Name          string       `json:"name"`
+	Domain        string       `json:"domain"` // failure domain
+	Service       string       `json:"service"`
+	TargetAddress string       `json:"targetAddress"`
+	Listen        Listen       `json:"listen"`
+	Advertise     Advertise    `json:"advertise"`
+	Store         string       `json:"store"`
+	FirstStart    bool         `json:"firstStart"`    // all daemons of the deployment start for the first time
+	Heartbeat     Milliseconds `json:"heartbeatMS"`   // interval of the target's heartbeats
+	DrainPeriod   Milliseconds `json:"drainPeriodMS"` // from the acknowledged departure of the target to its last request
+	StopGrace     Milliseconds `json:"stopGraceMS"`   // from the stop signal to the kill
+	// Evacuation is the time within which the evacuation of a failure domain takes
+	// effect. Without it, the daemon watches no evacuations.
+	Evacuation       Milliseconds `json:"evacuationMS,omitempty"`
 	Retries          Retries      `json:"retries"`
 	MemoryLimitBytes int64        `json:"memoryLimitBytes"`
 	GCPercent        int          `json:"gcPercent"` // heap growth between collections in percent (GOGC), 0 for the default of the Go runtime
@@ -133,6 +136,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
 		add("retries", s.Retries, "a ratio and a slack of 0 or more")
 	}
+	if s.Evacuation < 0 {
+		add("evacuationMS", s.Evacuation, "0 to watch no evacuations, or the time in which they take effect")
+	}
 	if s.GCPercent < 0 {
 		add("gcPercent", s.GCPercent, "0 for the default of the Go runtime, or a positive percentage")
 	}
--- a/test/platform/names_test.go
+++ b/test/platform/names_test.go
@@ -17,6 +17,7 @@
 	"/v1/instances", "/v1/readiness", "warmup_left_ms", "heartbeat_addr", "resource_type", "path_prefix",
 	"target_latency_ms", "weighted_split", "max_attempts", "created_rev", "at_rev", "has_more", "delete_requested",
 	"config/main", "rollouts/", "rolled_back", `duration_s"`,
+	"warmup_s", "warmup_per_s", "Warmup-Remaining", "evacuation_ms",
 }
 
 // TestWireNames guards against names from the wire formats of the platform in code
