Show the evacuations in force in the fleet view

Operators could not see whether an evacuation is in force. The fleet view of a daemon and "nutmegctl fleet" list the evacuated zones, and when a daemon first read the order from the store.

--- a/pkg/ctl/fleet_test.go
+++ b/pkg/ctl/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -14,7 +15,7 @@
 )
 
 // TestFleet guards against a fleet view that needs a token, or that does not show a
-// silent daemon.
+// silent daemon or an evacuation in force.
 func TestFleet(t *testing.T) {
 	view := fleetview.View{Daemon: "vm-1", ConfigVersion: 9, Refusals: map[string]int{"queue_full": 3}, Members: []fleetview.Member{
 		{
@@ -23,6 +24,7 @@
 		},
 		{Name: "vm-2", Zone: "z", State: fleetview.DaemonSilent, SilentMS: 4200},
 	}}
+	view.Evacuations = []fleetview.Evacuation{{Zone: "z", Since: time.Date(2030, 4, 5, 6, 7, 8, 0, time.UTC)}}
 	view.Zones = fleetview.Summarize(view.Members)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+fleetview.Path, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(view) })
@@ -32,7 +34,7 @@
 
 	var out, errs bytes.Buffer
 	assert.Equal(t, Run([]string{"fleet", "-server", address, "-members"}, &out, &errs), exitOK, errs.String())
-	for _, want := range []string{"2 daemons; refused at its target: queue_full 3", "4.2s", "vm-2", "t-1", "40ms"} {
+	for _, want := range []string{"2 daemons; refused at its target: queue_full 3", "4.2s", "vm-2", "t-1", "40ms", "zone z is evacuated since 2030-04-05T06:07:08Z"} {
 		assert.Assert(t, strings.Contains(out.String(), want), "%q is missing in:\n%s", want, out.String())
 	}
 	out.Reset()
--- a/pkg/ctl/write.go
+++ b/pkg/ctl/write.go
@@ -145,6 +145,9 @@
 				z.Targets[fleetview.TargetLeaving], z.LowestVersion, milliseconds(z.LongestSilent))
 		}
 	})
+	for _, e := range view.Evacuations {
+		fmt.Fprintf(w, "zone %s is evacuated since %s\n", e.Zone, e.Since.UTC().Format(time.RFC3339))
+	}
 	if !members {
 		return
 	}
--- a/pkg/fleetview/fleetview.go
+++ b/pkg/fleetview/fleetview.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Path is the path of the fleet view on the metrics address of a daemon on the
@@ -30,10 +31,17 @@
 // daemon and causes no store call.
 type View struct {
 	Daemon        string         `json:"daemon"`
-	ConfigVersion uint64         `json:"configVersion"` // in force at the daemon
-	Members       []Member       `json:"members"`       // by name
-	Zones         []Zone         `json:"zones"`         // by name
-	Refusals      map[string]int `json:"refusals"`      // of the daemon's own target, by reason, since its start
+	ConfigVersion uint64         `json:"configVersion"`         // in force at the daemon
+	Members       []Member       `json:"members"`               // by name
+	Zones         []Zone         `json:"zones"`                 // by name
+	Refusals      map[string]int `json:"refusals"`              // of the daemon's own target, by reason, since its start
+	Evacuations   []Evacuation   `json:"evacuations,omitempty"` // in force, by zone
+}
+
+// Evacuation is the evacuation of one failure domain.
+type Evacuation struct {
+	Zone  string    `json:"zone"`
+	Since time.Time `json:"since"` // when a daemon first read it from the store
 }
 
 // Member is one daemon with its target.
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
@@ -31,6 +33,10 @@
 		}
 		v.Members = append(v.Members, member)
 	})
+	since := n.evacuations.Since()
+	for _, zone := range slices.Sorted(maps.Keys(since)) {
+		v.Evacuations = append(v.Evacuations, fleetview.Evacuation{Zone: zone, Since: since[zone].UTC()})
+	}
 	v.Zones = fleetview.Summarize(v.Members)
 	return v
 }
