--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -46,7 +46,15 @@
 
 	mu       sync.Mutex
 	sequence int
-	state    string // reported by the heartbeats of the target; if empty, none are sent
+	state    string    // reported by the heartbeats of the target; if empty, none are sent
+	warmAt   time.Time // end of the cold phase that the heartbeats report
+}
+
+// setWarmup makes the heartbeats report a cold phase that ends after the given time.
+func (m *machine) setWarmup(left time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.warmAt = time.Now().Add(left)
 }
 
 // deployment is a store and a set of machines.
@@ -55,6 +63,7 @@
 	store    *standin.Store
 	machines []*machine
 	prepare  func(m *machine) // called before a machine starts, if set
+	extra    []any            // further entries of the configuration
 }
 
 func newDeployment(t *testing.T, n int) *deployment {
@@ -142,7 +151,7 @@
 			},
 		})
 	}
-	d.store.Put("config", "main", map[string]any{"version": version, "resources": resources})
+	d.store.Put("config", "main", map[string]any{"version": version, "resources": append(resources, d.extra...)})
 }
 
 func routeTimeoutMS(prefix string) int {
@@ -228,7 +237,8 @@
 	defer m.mu.Unlock()
 	m.sequence++
 	body := fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":%q,"version":"v1","zone":"z","slots":8},
-		"status":{"state":%q,"sequence":%d,"warmup_left_ms":0}}`, m.target.Address, service, state, m.sequence)
+		"status":{"state":%q,"sequence":%d,"warmup_left_ms":%d}}`, m.target.Address, service, state, m.sequence,
+		max(0, time.Until(m.warmAt).Milliseconds()))
 	return m.putInstance(m.id, body)
 }
 
--- a/test/platform/standin/store.go
+++ b/test/platform/standin/store.go
@@ -131,6 +131,22 @@
 	s.write(kind, &o, stored == nil)
 }
 
+// Delete removes an object without a condition, as the operator does.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stored := s.objects[kind][name]; stored != nil {
+		s.remove(kind, stored)
+	}
+}
+
+func (s *Store) remove(kind string, stored *Object) {
+	delete(s.objects[kind], stored.Metadata.Name)
+	s.revision++
+	s.history = append(s.history, change{kind: kind, object: *stored, deleted: true, revision: s.revision})
+	s.notify()
+}
+
 // PutRaw adds an object of another writer, whose JSON text need not be valid. It comes
 // first in lists, and in all watches.
 func (s *Store) PutRaw(kind, object string) {
@@ -250,10 +266,7 @@
 	case stored == nil:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodDelete:
-		delete(s.objects[kind], name)
-		s.revision++
-		s.history = append(s.history, change{kind: kind, object: *stored, deleted: true, revision: s.revision})
-		s.notify()
+		s.remove(kind, stored)
 		writeJSON(w, http.StatusOK, stored)
 	case r.Method == http.MethodPut:
 		o := *stored
