Evacuate domains and limit cold targets in the soak

The overlay of the soak evacuates one failure domain after the other, and its targets report a cold phase after their start and count the requests of each second in it. Runs without the overlay are as before.

--- a/test/platform/soak/history.go
+++ b/test/platform/soak/history.go
@@ -19,6 +19,7 @@
 
 // history records every request that clients sent and every execution at a target.
 type history struct {
+	evacuations
 	mu           sync.Mutex
 	requests     map[string]*request
 	violations   []string
--- a/test/platform/soak/machine.go
+++ b/test/platform/soak/machine.go
@@ -87,14 +87,17 @@
 	return "", fmt.Errorf("soak: no free port in the port range of the soak test")
 }
 
-func newMachine(i int, children *processes.Group, store string, h *history) (*machine, error) {
+func newMachine(i int, children *processes.Group, store string, h *history, evacuable bool) (*machine, error) {
 	m := &machine{name: fmt.Sprintf("vm-%d", i), children: children, history: h, version: firstVersion}
 	m.settings = &node.Settings{
-		Name: m.name, Domain: fmt.Sprintf("domain-%d", i%3), Service: service,
+		Name: m.name, Domain: domainName(i), Service: service,
 		Heartbeat: node.Milliseconds(heartbeatInterval.Milliseconds()), DrainPeriod: node.Milliseconds(drainPeriod.Milliseconds()),
 		StopGrace: node.Milliseconds(stopGrace.Milliseconds()), Retries: node.Retries{Ratio: 0.2, Slack: 60, Window: 10000},
 	}
 	s := m.settings
+	if evacuable {
+		s.Evacuation = node.Milliseconds(evacuationBound.Milliseconds())
+	}
 	for _, address := range []*string{
 		&s.TargetAddress, &s.Listen.Callers, &s.Listen.Daemons, &s.Listen.Fleet, &s.Listen.Announcements, &s.Listen.Readiness,
 		&s.Advertise.Daemons, &s.Advertise.Fleet, &s.Store,
@@ -148,7 +151,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.targetStarts++
-	t, err := startTarget(fmt.Sprintf("i-%s-%d", m.name, m.targetStarts), m.version, m.settings.TargetAddress, m.settings.Listen.Announcements, m.history, m.undisturbed)
+	t, err := startTarget(fmt.Sprintf("i-%s-%d", m.name, m.targetStarts), m)
 	if err == nil {
 		m.target = t
 	}
--- a/test/platform/soak/soak.go
+++ b/test/platform/soak/soak.go
@@ -28,7 +28,7 @@
 	Machines int
 	Duration time.Duration // of the fault injection
 	Moves    bool          // run moves to other versions of the targets as well
-	Overlay  bool          // limit targets and cut machines off from the store as well, and check that configurations are in force in time
+	Overlay  bool          // limit targets, cut machines off from the store and evacuate failure domains as well, and check that configurations are in force in time
 	// OverlayOnly leaves out the faults of the seed. Beside them few machines are
 	// undisturbed long enough for the check of configurations.
 	OverlayOnly bool
@@ -67,7 +67,7 @@
 	defer children.KillAll()
 	s.configure()
 	for i := range o.Machines {
-		m, err := newMachine(i, children, s.store.Address, s.history)
+		m, err := newMachine(i, children, s.store.Address, s.history, o.Overlay)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -90,6 +90,7 @@
 	if o.Overlay {
 		moves.Go(func() { s.runOverlay(rand.New(rand.NewPCG(o.Seed, 2)), done) })
 		moves.Go(func() { s.checkLateConfigurations(done) })
+		moves.Go(func() { s.runEvacuations(rand.New(rand.NewPCG(o.Seed, 3)), done) })
 	}
 	if o.Moves {
 		moves.Go(func() { s.runMoves(rand.New(rand.NewPCG(o.Seed, 1)), done) })
@@ -129,6 +130,9 @@
 			},
 		})
 	}
+	if s.options.Overlay {
+		resources = append(resources, coldService())
+	}
 	s.store.Put("config", "main", map[string]any{"version": s.configVersion, "resources": resources})
 	s.configuredAt = time.Now()
 }
--- a/test/platform/soak/target.go
+++ b/test/platform/soak/target.go
@@ -53,6 +53,9 @@
 	sequence     atomic.Int64
 	heartbeatMu  sync.Mutex // one heartbeat at a time
 	stop         context.CancelFunc
+	domain       string
+	limitsCold   bool // reports a cold phase and checks the rate in it
+	cold         coldPhase
 
 	limited      atomic.Bool // names a limit in its responses
 	limitMu      sync.Mutex
@@ -60,13 +63,17 @@
 	arrivals     []time.Time // of requests since then, within limitWindow
 }
 
-// startTarget listens on an address and starts to send heartbeats.
-func startTarget(id, version, address, control string, h *history, undisturbed func() bool) (*target, error) {
+// startTarget listens on the address of a machine's target and starts to send heartbeats.
+func startTarget(id string, m *machine) (*target, error) {
+	address := m.settings.TargetAddress
 	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
-	t := &target{id: id, version: version, address: address, control: control, startedMS: time.Now().UnixMilli(), history: h, listener: listener, undisturbed: undisturbed}
+	t := &target{
+		id: id, version: m.version, address: address, control: m.settings.Listen.Announcements, startedMS: time.Now().UnixMilli(), history: m.history,
+		listener: listener, undisturbed: m.undisturbed, domain: m.settings.Domain, limitsCold: m.settings.Evacuation > 0,
+	}
 	t.misbehavior.Store(&misbehavior{})
 	t.server = &http.Server{Handler: t}
 	go func() { _ = t.server.Serve(listener) }()
@@ -147,10 +154,14 @@
 	if draining {
 		state = "draining"
 	}
+	warmupLeft := int64(0)
+	if t.limitsCold {
+		warmupLeft = t.coldLeft().Milliseconds()
+	}
 	body, err := json.Marshal(map[string]any{
 		"address": t.address, "born": t.startedMS,
 		"info":   map[string]any{"service": service, "version": t.version, "zone": "z", "slots": slots},
-		"status": map[string]any{"state": state, "sequence": t.sequence.Add(1), "warmup_left_ms": 0},
+		"status": map[string]any{"state": state, "sequence": t.sequence.Add(1), "warmup_left_ms": warmupLeft},
 	})
 	if err != nil {
 		panic(err)
@@ -191,6 +202,8 @@
 		t.history.addViolation("drain: request %s reached %s %s after the target's draining was acknowledged", id, t.id, time.Since(time.Unix(0, ackedAt)))
 	}
 	t.checkLimit(id)
+	t.checkCold(id)
+	t.checkEvacuation(id)
 	if t.undisturbed() {
 		t.history.checkVersion(id, t.version)
 	}
