Give refused requests of a cold target turns to return

All requests that a cold target refused were told to return after the time until its next slot. Most of them were refused again then: the target serves one of them.

While the cold rate holds, each request that is refused for the first time takes a turn at that rate, up to 5 s ahead, and not beyond the end of the cold phase if that is known. A request that several targets refuse takes one turn.

Before: cold_test.go:73: refused requests may return after [0.249 0.249 0.248 0.248]. After: each at least 0.225 s after the previous one at a rate of 4 a second.

--- a/pkg/proxy/cold_test.go
+++ b/pkg/proxy/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -55,6 +56,36 @@
 	assert.Assert(t, got > 2*most, "%d requests in a second of a warm target", got)
 }
 
+// TestRetryAfterOfColdTarget guards against refused requests that all return at the same
+// time, when a cold target can serve one of them, and against a time that is too short.
+func TestRetryAfterOfColdTarget(t *testing.T) {
+	m := newColdMesh(t, 1)
+	m.hear(0, time.Hour)
+	var waits []float64
+	for len(waits) < 4 {
+		if r := m.get("/look/1"); r.status == http.StatusServiceUnavailable {
+			wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			waits = append(waits, wait)
+		}
+	}
+	for i := 1; i < len(waits); i++ {
+		assert.Assert(t, waits[i] > waits[i-1]+0.9/coldRate, "refused requests may return after %v", waits)
+	}
+	time.Sleep(time.Duration(waits[0] * float64(time.Second)))
+	assert.Equal(t, m.get("/look/1").status, http.StatusOK)
+
+	m.hear(0, 300*time.Millisecond)
+	for {
+		if r := m.get("/look/1"); r.status == http.StatusServiceUnavailable {
+			wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, wait <= 0.3, "%v s, beyond the end of the cold phase", wait)
+			break
+		}
+	}
+}
+
 // TestUnknownTargetCountsAsCold guards against a restarted target that gets requests at the
 // rate of a warm one until its next heartbeat.
 func TestUnknownTargetCountsAsCold(t *testing.T) {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -88,8 +88,9 @@
 	refusals  map[string]int // by reason
 
 	warmth     warmth
-	coldRate   float64 // requests per second that the target gets now, 0 if it is warm
-	coldPhases int     // number of times that the target has become cold
+	coldRate   float64       // requests per second that the target gets now, 0 if it is warm
+	coldTurn   clock.Instant // when the next refused request may return, while the target is cold
+	coldPhases int           // number of times that the target has become cold
 }
 
 // NewGate returns a gate without a target.
@@ -113,7 +114,7 @@
 		g.target, g.slots, g.conns = &t, admission.NewQueue(t.Slots), newPool(t.Address)
 		g.conns.lost = func() { g.loseConnection(&t) }
 		g.leaveEnd, g.down, g.downUntil = 0, false, 0
-		g.warmth, g.coldRate = warmth{}, 0
+		g.warmth, g.coldRate, g.coldTurn = warmth{}, 0, 0
 	}
 	g.warmth.hear(t.HeardAt, t.WarmupLeft)
 	g.refreshCold(g.Clock.Now())
@@ -261,6 +262,9 @@
 		if slots != nil {
 			result.Load = g.load(slots)
 			result.RetryAfter = max(result.Load.Wait, defaultRetryAfter)
+			if reason == ReasonQueueFull {
+				result.RetryAfter = g.coldRetryAfter(call, result.RetryAfter)
+			}
 		}
 		g.logAttempt(call, result, waited)
 		return result
--- a/pkg/proxy/warmth.go
+++ b/pkg/proxy/warmth.go
@@ -14,6 +14,10 @@
 // sooner after a lost connection may have been sent by the process that is gone.
 const heartbeatTransit = 300 * time.Millisecond
 
+// maxColdRetryAfter bounds the time after which a refused request may return. Callers that
+// waited longer would miss that targets have become warm or that others have started.
+const maxColdRetryAfter = 5 * time.Second
+
 // warmth decides whether a target counts as cold: if its last heartbeat says so, and
 // while its state is unknown, which is the case from a lost connection or the end of an
 // evacuation until a later heartbeat.
@@ -86,6 +90,28 @@
 	g.slots.SetColdRate(limit)
 }
 
+// coldRetryAfter returns the time after which a request that a cold target refuses may
+// return, which is wait or more. Refused requests get turns at the rate of the target:
+// with the same time for all of them, most would be refused again. The end of the cold
+// phase is early enough for any of them.
+func (g *Gate) coldRetryAfter(call *Call, wait time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.coldRate == 0 {
+		return wait
+	}
+	now := g.Clock.Now()
+	turn := max(g.coldTurn, now.Add(wait))
+	if g.warmth.announced(now) {
+		turn = min(turn, max(g.warmth.warmAt, now.Add(defaultRetryAfter)))
+	}
+	turn = min(turn, now.Add(maxColdRetryAfter))
+	if call.Attempt <= 1 { // a request that several targets refuse takes one turn
+		g.coldTurn = turn.Add(time.Duration(float64(time.Second) / g.coldRate))
+	}
+	return turn.Sub(now)
+}
+
 // coldPhase returns the number of times that the target has become cold.
 func (g *Gate) coldPhase() int {
 	g.mu.Lock()
