--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -34,6 +35,10 @@
 		}
 		v.Members = append(v.Members, member)
 	})
+	since := n.evacuations.Since()
+	for _, zone := range slices.Sorted(maps.Keys(since)) {
+		v.Evacuations = append(v.Evacuations, fleetview.Evacuation{Zone: zone, Since: since[zone].UTC()})
+	}
 	v.Zones = fleetview.Summarize(v.Members)
 	return v
 }
--- a/pkg/proxy/balance/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -82,6 +82,7 @@
 	unresponsive        bool // the last failure was a network timeout
 	pausedUntil         time.Time
 	usedAt              time.Time
+	cold                coldShare
 }
 
 // Result is the result of an attempt.
@@ -136,6 +137,7 @@
 	now := time.Now()
 	o := b.collect(request, endpoints, attempted, now)
 	best := b.chooseDomain(&o, request)
+	best = b.preferDue(request, endpoints, attempted, best, now)
 	if best == nil {
 		return nil
 	}
@@ -163,6 +165,9 @@
 		t *= coldStartFactor
 	}
 	wait := float64(s.rateTime(freshness))
+	if e.cold(now) && s.load.RateLimit == 0 {
+		wait = float64(s.callsSinceLoad) / e.ColdRate * float64(time.Second)
+	}
 	if occupied >= slots {
 		serviceTime := float64(s.load.ServiceTime)
 		if serviceTime == 0 {
@@ -285,6 +290,7 @@
 	now := time.Now()
 	s := b.statsFor(e.Target)
 	s.inFlight--
+	s.cold.record(e, result, now)
 	if result.Took > 0 && (!result.Refused || result.Waited == 0 && !result.QueueFull) {
 		s.recordOverhead(e, result, b.responseKB[request.Route])
 	}
--- a/pkg/proxy/balance/endpoint.go
+++ b/pkg/proxy/balance/endpoint.go
@@ -18,6 +18,7 @@
 	Slots      int
 	LinkMbps   float64   // of the target's machine, 0 if unknown
 	WarmAt     time.Time // end of the cold start
+	ColdRate   float64   // requests per second that the target tolerates until WarmAt, 0 for no limit
 	Available  bool      // not leaving, down or silent
 
 	published atomic.Pointer[publishedLoad] // nil if none is known
--- a/pkg/proxy/events.go
+++ b/pkg/proxy/events.go
@@ -27,4 +27,6 @@
 		"The target side has a newer configuration, in which the key of a call belongs to another workspace or to none; the caller side checks the request again.")
 	eventKeyWithdrawn = telemetry.NewEvent(2021, "key_withdrawn", zapcore.InfoLevel,
 		"A newer configuration, which came into force while the request was waiting, does not allow it; it was not run.")
+	eventColdRate = telemetry.NewEvent(2009, "target_cold_rate", zapcore.InfoLevel,
+		"The local target counts as cold and gets at most limit requests per second, or counts as warm (limit 0); lost tells that its state is unknown since a lost connection.")
 )
--- a/pkg/proxy/limiter_internal_test.go
+++ b/pkg/proxy/limiter_internal_test.go
@@ -53,7 +53,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			limiter := &fakeLimiter{err: c.err}
 			i := NewIngress(IngressOptions{
-				Limiter: limiter, Directory: limiter, Versions: limiter, Balancer: balance.New(zap.NewNop()), Logger: zap.NewNop(),
+				Limiter: limiter, Directory: limiter, Versions: limiter, Balancer: balance.New(zap.NewNop()), Gate: NewGate(GateOptions{}), Logger: zap.NewNop(),
 				Budget: NewRetryBudget(0.2, 60, time.Second, func() int { return 1 }),
 			})
 			now := time.Now()
