Test that an exempt route reaches peers in a delta

What callers saw: nothing. A trial in which Route.equal ignored Exempt passed all tests of pkg/routing, as TestDelta compares routes by the same function.

TestExemptInDelta fails in that trial and passes now. The start of a test machine has a logger by default.

--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -51,7 +51,8 @@
 		for i := range rapid.IntRange(0, 6).Draw(t, "routes") {
 			c.Routes = append(c.Routes, &Route{
 				Name: strconv.Itoa(i * rapid.IntRange(1, 3).Draw(t, "name") * 7 % 11), Attempts: rapid.IntRange(0, 1).Draw(t, "attempts"),
-				Split: []Share{{Service: "s", Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))}},
+				Split:  []Share{{Service: "s", Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))}},
+				Exempt: rapid.Bool().Draw(t, "exempt"),
 			})
 		}
 		c.Routes = uniqueByName(c.Routes)
--- a/pkg/routing/workspace_test.go
+++ b/pkg/routing/workspace_test.go
@@ -133,3 +133,11 @@
 	var none *Table
 	assert.Assert(t, none.Authenticate(digest) == nil && none.WorkspaceByName("a") == nil && !none.HasWorkspaces())
 }
+
+// TestExemptInDelta guards against a route that stays exempt, or not, at peers when that
+// is all that changes.
+func TestExemptInDelta(t *testing.T) {
+	before := &Config{Version: 1, Routes: []*Route{{Name: "r"}}}
+	after, ok := before.Apply((&Config{Version: 2, Routes: []*Route{{Name: "r", Exempt: true}}}).Diff(before))
+	assert.Assert(t, ok && after.Routes[0].Exempt)
+}
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -43,7 +43,7 @@
 	id       string
 	stop     context.CancelFunc
 	ended    chan error
-	logger   *zap.Logger // nothing is logged if it is nil
+	logger   *zap.Logger
 
 	mu       sync.Mutex
 	sequence int
@@ -177,7 +177,7 @@
 }
 
 func (d *deployment) newMachine(i int) *machine {
-	m := &machine{t: d.t, store: d.store.Address, target: proxytest.New(d.t), state: "ready", id: fmt.Sprintf("i-%d", i)}
+	m := &machine{t: d.t, store: d.store.Address, target: proxytest.New(d.t), state: "ready", logger: zap.NewNop(), id: fmt.Sprintf("i-%d", i)}
 	m.settings = &node.Settings{
 		Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("zone-%d", i%2), Service: service, TargetAddress: m.target.Address,
 		Listen: node.Listen{
@@ -193,13 +193,9 @@
 func (m *machine) start() {
 	m.t.Helper()
 	objects := platform.NewObjects(m.store)
-	logger := m.logger
-	if logger == nil {
-		logger = zap.NewNop()
-	}
 	n, err := node.New(m.settings, node.Platform{
 		Headers: proxytest.Names, Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
-	}, logger)
+	}, m.logger)
 	assert.NilError(m.t, err)
 	var ctx context.Context
 	ctx, m.stop = context.WithCancel(context.Background())
