Refuse only requests that crash targets, not what ran beside

Cause: a request in flight at two crashes counted as one that crashes targets, and its refusal kept it from showing the contrary.

Change: after two crashes a request is a suspect. It runs alone at its target, if the others end within 0.1 s, and is not tried at another target if the connection is lost. A run that ends without a crash, wherever, clears it at all daemons. Each daemon publishes counts that never fall as the rank of a fact with a new prefix, so that versions do not misread each other's facts; a restarted daemon takes over its own. Bodies are awaited only while a suspect has the same method, host, path and caller.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -39,9 +39,9 @@
 	// before the configured time.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
-	// suspectPrefix is the key prefix of the facts about requests that crash
-	// targets.
-	suspectPrefix = "suspect/"
+	// crashPrefix is the key prefix of the facts about requests that were in flight when
+	// targets crashed. Earlier versions kept other counts with the prefix "suspect/".
+	crashPrefix = "crash/"
 )
 
 // Node is a daemon of a deployment with all its parts.
@@ -181,8 +181,8 @@
 
 func (n *Node) buildProxy(instruments *proxy.Metrics) {
 	s := n.settings
-	n.suspects = &proxy.Suspects{Clock: n.clock, Logger: n.logger, Publish: func(fingerprint uint64, crashes int) {
-		n.fleet.SetFact(suspectPrefix+strconv.FormatUint(fingerprint, 16)+"/"+s.Name, uint64(crashes), nil)
+	n.suspects = &proxy.Suspects{Clock: n.clock, Logger: n.logger, Publish: func(fingerprint uint64, evidence proxy.Evidence) {
+		n.fleet.SetFact(crashPrefix+strconv.FormatUint(fingerprint, 16)+"/"+s.Name, evidence.Rank(), nil)
 	}}
 	uplink := proxy.NewUplink(s.LinkMbps)
 	n.gate = proxy.NewGate(proxy.GateOptions{
@@ -329,19 +329,25 @@
 	}
 }
 
-// applySuspects records the crashes reported by peers.
+// applySuspects passes on the evidence of all daemons about requests that were in flight
+// at crashes, also that of this daemon before its last start.
 func (n *Node) applySuspects(facts []fleet.Fact) {
+	var reports []proxy.EvidenceReport
 	for _, fact := range facts {
-		rest, ok := strings.CutPrefix(fact.Key, suspectPrefix)
+		rest, ok := strings.CutPrefix(fact.Key, crashPrefix)
 		if !ok {
 			continue
 		}
 		hexFingerprint, daemon, _ := strings.Cut(rest, "/")
 		fingerprint, err := strconv.ParseUint(hexFingerprint, 16, 64)
-		if err == nil && daemon != n.settings.Name {
-			n.suspects.RecordRemote(daemon, fingerprint, int(fact.Rank))
+		if daemon == n.settings.Name {
+			daemon = ""
+		}
+		if err == nil {
+			reports = append(reports, proxy.EvidenceReport{Daemon: daemon, Fingerprint: fingerprint, Evidence: proxy.EvidenceOfRank(fact.Rank)})
 		}
 	}
+	n.suspects.Apply(reports)
 }
 
 // sendReport sends the local evidence to the controller candidates.
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -74,16 +74,18 @@
 // admission assigns the slots of one target to calls and queues the calls that
 // have to wait.
 type admission struct {
-	mu          sync.Mutex
-	slots       int
-	busy        int
-	queue       []*waiter
-	serviceTime time.Duration            // moving average of the time of a request in the target
-	routeTimes  map[string]time.Duration // serviceTime by route
-	closeReason string                   // reason of every refusal once closed, empty while open
-	rate        *rate.Limiter            // of the limit that the target names, nil while it names none
-	rateNamed   bool                     // a response of the target has told whether it names a limit
-	rateTimer   *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
+	mu            sync.Mutex
+	slots         int
+	busy          int
+	queue         []*waiter
+	serviceTime   time.Duration            // moving average of the time of a request in the target
+	routeTimes    map[string]time.Duration // serviceTime by route
+	closeReason   string                   // reason of every refusal once closed, empty while open
+	rate          *rate.Limiter            // of the limit that the target names, nil while it names none
+	rateNamed     bool                     // a response of the target has told whether it names a limit
+	isolated      bool                     // no call gets a slot: a suspect runs alone
+	nextIsolation time.Time                // earliest time
+	rateTimer     *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
 }
 
 func newAdmission(slots int) *admission {
@@ -101,7 +103,7 @@
 		defer a.mu.Unlock()
 		return a.closeReason
 	}
-	if a.busy < a.slots && len(a.queue) == 0 && a.takeRate() {
+	if a.busy < a.slots && len(a.queue) == 0 && !a.isolated && a.takeRate() {
 		a.busy++
 		a.mu.Unlock()
 		return ""
@@ -212,7 +214,7 @@
 // grantLocked grants free slots to waiting calls, as far as the rate allows it.
 func (a *admission) grantLocked() {
 	now := time.Now()
-	for len(a.queue) > 0 && a.busy < a.slots {
+	for len(a.queue) > 0 && a.busy < a.slots && !a.isolated {
 		w := a.queue[0]
 		expired := now.After(w.waitUntil)
 		if !expired && !a.takeRate() {
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -83,7 +83,7 @@
 	ReasonExpired     = "expired"      // too little time is left before the deadline
 	ReasonVersion     = "version"      // the version of the target must not be used
 	ReasonStaleConfig = "stale_config" // the configuration of the caller side is out of date
-	ReasonSuspect     = "suspect"      // the request has been in flight during several target crashes
+	ReasonSuspect     = "suspect"      // the request crashes targets, or the connection was lost when it ran as a suspect
 	ReasonTargetDown  = "target_down"  // the target does not accept connections
 	ReasonCallerGone  = "caller_gone"  // the caller disconnected
 )
--- a/pkg/proxy/events.go
+++ b/pkg/proxy/events.go
@@ -16,13 +16,17 @@
 	eventTargetUp = telemetry.NewEvent(2003, "target_up", zapcore.InfoLevel,
 		"The local target accepts connections again.")
 	eventSuspect = telemetry.NewEvent(2004, "suspect_request", zapcore.WarnLevel,
-		"A target crashed while this request was in flight; after several crashes the request is refused.")
+		"A target crashed while this request was in flight. The verdict says how the request may run from now on: alone after several crashes, not at all after crashes while it ran as a suspect.")
 	eventAnswerCut = telemetry.NewEvent(2005, "answer_cut", zapcore.WarnLevel,
 		"A response body was interrupted after the response header had been sent; the caller's connection is closed so that the caller detects the truncation.")
 	eventTargetPaused = telemetry.NewEvent(2006, "target_paused", zapcore.InfoLevel,
 		"A target failed several consecutive attempts and gets no calls during the pause.")
 	eventServerError = telemetry.NewEvent(2007, "server_error", zapcore.DebugLevel,
 		"The HTTP server reported a problem with a connection.")
+	eventSuspectAlone = telemetry.NewEvent(2018, "suspect_request_alone", zapcore.InfoLevel,
+		"A request that was in flight at several crashes waits until no other request runs at the target, as far as its time allows.")
+	eventSuspectCleared = telemetry.NewEvent(2019, "suspect_request_cleared", zapcore.InfoLevel,
+		"A request that was in flight at several crashes ran without one; the crashes before no longer count.")
 	eventRateLimit = telemetry.NewEvent(2008, "target_rate_limit", zapcore.InfoLevel,
 		"The local target named another rate limit in a response, or no longer names one (limit 0, in requests per second).")
 )
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -77,14 +77,14 @@
 	leaveEnd  clock.Instant // no request is sent after it, 0 if the target is not leaving
 	downUntil clock.Instant
 	down      bool
-	stopping  bool // the daemon stops soon; no call is sent anymore
-	inFlight  map[*Call]struct{}
+	stopping  bool           // the daemon stops soon; no call is sent anymore
+	inFlight  map[*Call]bool // whether the call was a suspect when it was sent
 	refusals  map[string]int // by reason
 }
 
 // NewGate returns a gate without a target.
 func NewGate(options GateOptions) *Gate {
-	return &Gate{GateOptions: options, inFlight: make(map[*Call]struct{}), refusals: make(map[string]int)}
+	return &Gate{GateOptions: options, inFlight: make(map[*Call]bool), refusals: make(map[string]int)}
 }
 
 // SetTarget sets the target after an announcement. A target with a different ID
@@ -211,7 +211,7 @@
 	if !g.Versions.Allowed(g.target.Service, g.target.Version) {
 		return ReasonVersion
 	}
-	if g.Suspects.IsBlocked(call) {
+	if g.Suspects.Check(call) == Refuse {
 		return ReasonSuspect
 	}
 	if time.Until(call.Deadline) < minTimeLeft {
@@ -230,8 +230,8 @@
 		reason = slots.acquire(ctx, call)
 	}
 	if reason == "" {
+		defer g.isolate(ctx, call, slots)()
 		// The conditions may have changed during the wait.
-		g.Suspects.AwaitBody(ctx, call)
 		if _, _, _, reason = g.admit(call); reason != "" {
 			slots.release(call.Route, 0)
 		}
@@ -253,6 +253,18 @@
 	return result
 }
 
+// isolate makes a suspect that has got a slot run alone if possible, until the returned
+// function is called.
+func (g *Gate) isolate(ctx context.Context, call *Call, slots *admission) (end func()) {
+	g.Suspects.AwaitBody(ctx, call)
+	needed := func() bool { return g.Suspects.Check(call) == RunAlone }
+	if !needed() {
+		return func() {}
+	}
+	eventSuspectAlone.Log(g.Logger, zap.String("request", call.ID))
+	return slots.isolate(ctx, needed)
+}
+
 func (g *Gate) countRefusal(reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -367,7 +367,7 @@
 		s.mayHaveRun = true
 	default:
 		s.mayHaveRun = true
-		if !s.call.Kind.Repeatable() {
+		if !s.call.Kind.Repeatable() || result.Reason == ReasonSuspect {
 			return false
 		}
 	}
--- /dev/null
+++ b/pkg/proxy/isolation.go
@@ -0,0 +1,66 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// isolationWait bounds the wait of a suspect for the other requests of its target to
+	// end. It then runs beside them.
+	isolationWait = 100 * time.Millisecond
+	// isolationTime bounds the time for which a suspect keeps other requests from its
+	// target, with isolationWait. Together with isolationInterval, the time between the
+	// starts of two isolations, it leaves four fifths of the time to others.
+	isolationTime     = 300 * time.Millisecond
+	isolationInterval = 1500 * time.Millisecond
+	// isolationPoll is the interval at which a suspect checks whether it is alone.
+	isolationPoll = 5 * time.Millisecond
+)
+
+// isolate keeps the target from getting further calls, and waits until the calling one,
+// which has a slot, is alone or need not be. The target gets calls again after
+// isolationTime, or when the returned function is called.
+func (a *admission) isolate(ctx context.Context, needed func() bool) (end func()) {
+	if !a.beginIsolation() {
+		return func() {}
+	}
+	once := sync.OnceFunc(a.endIsolation)
+	timer := time.AfterFunc(isolationTime, once)
+	for began := time.Now(); time.Since(began) < isolationWait && ctx.Err() == nil && !a.alone(); time.Sleep(isolationPoll) {
+		if !needed() {
+			once()
+			break
+		}
+	}
+	return func() {
+		timer.Stop()
+		once()
+	}
+}
+
+// beginIsolation reports whether an isolation is allowed now.
+func (a *admission) beginIsolation() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if now.Before(a.nextIsolation) {
+		return false
+	}
+	a.isolated, a.nextIsolation = true, now.Add(isolationInterval)
+	return true
+}
+
+func (a *admission) endIsolation() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isolated = false
+	a.grantLocked()
+}
+
+func (a *admission) alone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.busy <= 1
+}
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -17,10 +17,10 @@
 
 // run sends a call that has been granted a slot to the target.
 func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission, conns *pool) *AttemptResult {
-	g.track(call, true)
+	suspect := g.track(call)
 	started := time.Now()
 	finish := func(ran time.Duration) {
-		g.track(call, false)
+		g.untrack(call)
 		slots.release(call.Route, ran)
 	}
 	maxIdle := time.Hour
@@ -39,7 +39,11 @@
 		conns.discard(c)
 		g.confirmCrash(ctx, call, err)
 		finish(0)
-		return &AttemptResult{Outcome: Unknown, Reason: err.Error(), Load: g.load(slots)}
+		result := &AttemptResult{Outcome: Unknown, Reason: err.Error(), Load: g.load(slots)}
+		if suspect {
+			result.Reason = ReasonSuspect
+		}
+		return result
 	}
 	g.recordLimit(target, slots, x.response)
 	if x.response.Header.Get(g.Names.Leaving) == leavingValue {
@@ -66,14 +70,19 @@
 ) *AttemptResult {
 	r := x.response
 	load := g.load(slots)
+	rejected := r.Header.Get(g.Names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+	invalid := g.invalidReason(r)
 	body := &responseBody{exchange: x, pool: conns, done: func(complete bool) {
 		if complete && r.StatusCode < http.StatusInternalServerError {
+			if !rejected && invalid == "" {
+				g.Suspects.RecordRun(call)
+			}
 			finish(time.Since(started))
 		} else {
 			finish(0)
 		}
 	}}
-	if r.Header.Get(g.Names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest {
+	if rejected {
 		x.conn.discard(body) // a refusal with an incomplete body is still valid
 		_ = body.Close()
 		return &AttemptResult{
@@ -81,9 +90,9 @@
 			RetryAfter: max(load.Wait, defaultRetryAfter), Load: load,
 		}
 	}
-	if reason := g.invalidReason(r); reason != "" {
+	if invalid != "" {
 		_ = body.Close()
-		return &AttemptResult{Outcome: Unknown, Reason: reason, Load: load}
+		return &AttemptResult{Outcome: Unknown, Reason: invalid, Load: load}
 	}
 	result := &AttemptResult{
 		Outcome: Answered, Status: r.StatusCode, Header: endToEnd(r.Header), Length: r.ContentLength, Body: body,
@@ -145,14 +154,19 @@
 	})
 }
 
-func (g *Gate) track(call *Call, on bool) {
+// track adds a call to those in flight, and reports whether it is a suspect.
+func (g *Gate) track(call *Call) bool {
+	suspect := g.Suspects.Check(call) != Run
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if on {
-		g.inFlight[call] = struct{}{}
-	} else {
-		delete(g.inFlight, call)
-	}
+	g.inFlight[call] = suspect
+	return suspect
+}
+
+func (g *Gate) untrack(call *Call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.inFlight, call)
 }
 
 // confirmCrash passes the calls in flight to Suspects when a connection to the
@@ -164,9 +178,9 @@
 		return
 	}
 	g.mu.Lock()
-	calls := make([]*Call, 0, len(g.inFlight))
-	for call := range g.inFlight {
-		calls = append(calls, call)
+	calls := make([]RunningCall, 0, len(g.inFlight))
+	for call, suspect := range g.inFlight {
+		calls = append(calls, RunningCall{call, suspect})
 	}
 	target := g.target
 	g.mu.Unlock()
--- a/pkg/proxy/suspects.go
+++ b/pkg/proxy/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,12 +14,6 @@
 )
 
 const (
-	// crashesToRefuse is the number of crashes with a request in flight after
-	// which the request is refused. A single crash can be a coincidence.
-	crashesToRefuse = 2
-	// suspectRetention is the time after its last crash for which a request is
-	// refused.
-	suspectRetention = 10 * time.Minute
 	// crashProbeDelay gives a crashed target time to close its listener before
 	// it is probed.
 	crashProbeDelay = 20 * time.Millisecond
@@ -32,46 +27,31 @@
 	baseBits = 32
 )
 
-// Suspects tracks requests that were in flight when targets crashed, and
-// identifies those that must be refused after several crashes.
+// Suspects tracks requests that were in flight when targets crashed, and identifies those
+// that crash the targets that run them. What one daemon sees is sent to the others.
 type Suspects struct {
 	Clock  clock.Clock
 	Logger *zap.Logger
-	// Publish sends the number of crashes recorded by this daemon to the other
-	// daemons.
-	Publish func(fingerprint uint64, crashes int)
+	// Publish sends what this daemon has seen of a request to the other daemons.
+	Publish func(fingerprint uint64, evidence Evidence)
 
 	mu      sync.Mutex
-	records map[uint64]*suspect
-	bases   map[uint32]bool // first parts of the fingerprints in records
+	records map[uint64]*suspicion
+	bases   map[uint32][]uint64 // fingerprints that are or were suspects, by their first parts
 	probing bool
 }
 
-// suspect counts the crashes of a request.
-type suspect struct {
-	local     int            // crashes recorded by this daemon
-	remote    map[string]int // crashes by remote daemon
-	forgiven  int            // crashes before the last suspectRetention without any
-	updatedAt clock.Instant
+// EvidenceReport is the evidence of one daemon about one request.
+type EvidenceReport struct {
+	Daemon      string // empty for the local daemon
+	Fingerprint uint64
+	Evidence    Evidence
 }
 
-func (s *suspect) total() int {
-	total := s.local
-	for _, n := range s.remote {
-		total += n
-	}
-	return total
-}
-
-// crashes returns the number of crashes that count against the request.
-func (s *suspect) crashes() int { return s.total() - s.forgiven }
-
-// forgive starts a new count if the last crash is suspectRetention ago. It is called
-// before a crash is recorded.
-func (s *suspect) forgive(now clock.Instant) {
-	if now.Sub(s.updatedAt) >= suspectRetention {
-		s.forgiven = s.total()
-	}
+// RunningCall is a call that was sent to the target.
+type RunningCall struct {
+	Call    *Call
+	Suspect bool // it was a suspect when it was sent
 }
 
 // fingerprintBase returns a hash of the method, host, URI and calling service of a
@@ -93,7 +73,7 @@
 }
 
 // AwaitBody reads the start of a request's body if suspects differ from the request by
-// their body at most. IsBlocked needs it.
+// their body at most. Check needs it.
 func (s *Suspects) AwaitBody(ctx context.Context, call *Call) {
 	if s.watches(call) {
 		call.Body.readPrefix(ctx)
@@ -104,30 +84,55 @@
 func (s *Suspects) watches(call *Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.bases) > 0 && s.bases[fingerprintBase(call)]
+	if len(s.bases) == 0 {
+		return false
+	}
+	now := s.Clock.Now()
+	return slices.ContainsFunc(s.bases[fingerprintBase(call)], func(fingerprint uint64) bool {
+		return s.records[fingerprint].verdict(now) != Run
+	})
 }
 
-// IsBlocked reports whether a request must be refused because several targets
-// crashed while it was in flight. A request that may be one of the suspects, and whose
-// body could not be read, is blocked too.
-func (s *Suspects) IsBlocked(call *Call) bool {
+// Check returns how a request may run. A request that may be one of the suspects, and
+// whose body could not be read, is refused.
+func (s *Suspects) Check(call *Call) Verdict {
 	if !s.watches(call) {
-		return false
+		return Run
 	}
 	fingerprint, known := Fingerprint(call)
 	if !known {
-		return true
+		return Refuse
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record := s.records[fingerprint]
-	return record != nil && record.crashes() >= crashesToRefuse && s.Clock.Now().Sub(record.updatedAt) < suspectRetention
+	if record := s.records[fingerprint]; record != nil {
+		return record.verdict(s.Clock.Now())
+	}
+	return Run
+}
+
+// RecordRun records that a call has run without a crash.
+func (s *Suspects) RecordRun(call *Call) {
+	if s.Check(call) == Run {
+		return
+	}
+	fingerprint, known := Fingerprint(call)
+	if !known {
+		return
+	}
+	s.mu.Lock()
+	evidence := s.getOrCreate(fingerprint).evidence[localDaemon]
+	evidence.Clean++
+	s.merge(EvidenceReport{localDaemon, fingerprint, evidence})
+	s.mu.Unlock()
+	eventSuspectCleared.Log(s.Logger, zap.String("request", call.ID), zap.Uint64("fingerprint", fingerprint))
+	s.Publish(fingerprint, evidence)
 }
 
 // ConfirmCrash probes the target at an address after it closed a connection. If
 // the target does not accept connections, the calls that were in flight are
 // recorded as suspects.
-func (s *Suspects) ConfirmCrash(address string, calls []*Call) {
+func (s *Suspects) ConfirmCrash(address string, calls []RunningCall) {
 	s.mu.Lock()
 	probing := s.probing
 	s.probing = true
@@ -153,22 +158,22 @@
 
 // recordCrash records the calls that were in flight at a crash. Those whose bodies are
 // still being read follow after crashBodyTimeout.
-func (s *Suspects) recordCrash(calls []*Call) {
-	seen := make(map[uint64]bool)
-	if pending := s.recordKnown(calls, seen); len(pending) > 0 {
-		time.AfterFunc(crashBodyTimeout, func() { s.recordKnown(pending, seen) })
+func (s *Suspects) recordCrash(calls []RunningCall) {
+	alone, seen := len(calls) == 1, make(map[uint64]bool)
+	if pending := s.recordKnown(calls, alone, seen); len(pending) > 0 {
+		time.AfterFunc(crashBodyTimeout, func() { s.recordKnown(pending, alone, seen) })
 	}
 }
 
 // recordKnown records the calls whose fingerprints are known and not yet seen at this
 // crash, and returns those whose fingerprints are not known.
-func (s *Suspects) recordKnown(calls []*Call, seen map[uint64]bool) (pending []*Call) {
-	changed := make(map[uint64]int)
+func (s *Suspects) recordKnown(calls []RunningCall, alone bool, seen map[uint64]bool) (pending []RunningCall) {
+	changed := make(map[uint64]Evidence)
 	s.mu.Lock()
-	for _, call := range calls {
-		fingerprint, known := Fingerprint(call)
+	for _, running := range calls {
+		fingerprint, known := Fingerprint(running.Call)
 		if !known {
-			pending = append(pending, call)
+			pending = append(pending, running)
 			continue
 		}
 		if seen[fingerprint] {
@@ -176,40 +181,51 @@
 		}
 		seen[fingerprint] = true
 		record := s.getOrCreate(fingerprint)
-		record.forgive(s.Clock.Now())
-		record.local++
-		record.updatedAt = s.Clock.Now()
-		changed[fingerprint] = record.local
-		eventSuspect.Log(s.Logger, zap.String("request", call.ID), zap.Uint64("fingerprint", fingerprint),
-			zap.Int("crashes", record.crashes()))
+		evidence := record.evidence[localDaemon]
+		evidence.addCrash(running.Suspect, alone)
+		s.merge(EvidenceReport{localDaemon, fingerprint, evidence})
+		changed[fingerprint] = evidence
+		eventSuspect.Log(s.Logger, zap.String("request", running.Call.ID), zap.Uint64("fingerprint", fingerprint),
+			zap.Int("crashes", record.counted().Crashes), zap.Stringer("verdict", record.verdict(s.Clock.Now())))
 	}
 	s.mu.Unlock()
-	for fingerprint, crashes := range changed {
-		s.Publish(fingerprint, crashes)
+	for fingerprint, evidence := range changed {
+		s.Publish(fingerprint, evidence)
 	}
 	return pending
 }
 
-// RecordRemote records the number of crashes that another daemon has seen.
-func (s *Suspects) RecordRemote(daemon string, fingerprint uint64, crashes int) {
+// Apply merges the evidence of daemons. Crashes are merged before clean runs, so that a
+// daemon that gets all evidence at once, after its start, comes to the others' result.
+func (s *Suspects) Apply(reports []EvidenceReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record := s.getOrCreate(fingerprint)
-	if record.remote[daemon] < crashes {
-		record.forgive(s.Clock.Now())
-		record.remote[daemon] = crashes
-		record.updatedAt = s.Clock.Now()
+	for _, report := range reports {
+		report.Evidence.Clean = 0
+		s.merge(report)
+	}
+	for _, report := range reports {
+		s.merge(report)
+	}
+}
+
+// merge adds evidence to the record of a request. The caller holds mu.
+func (s *Suspects) merge(report EvidenceReport) {
+	record, now := s.getOrCreate(report.Fingerprint), s.Clock.Now()
+	record.merge(report.Daemon, report.Evidence, now)
+	base := uint32(report.Fingerprint >> baseBits)
+	if record.verdict(now) != Run && !slices.Contains(s.bases[base], report.Fingerprint) {
+		s.bases[base] = append(s.bases[base], report.Fingerprint)
 	}
 }
 
-func (s *Suspects) getOrCreate(fingerprint uint64) *suspect {
+func (s *Suspects) getOrCreate(fingerprint uint64) *suspicion {
 	if s.records == nil {
-		s.records, s.bases = make(map[uint64]*suspect), make(map[uint32]bool)
+		s.records, s.bases = make(map[uint64]*suspicion), make(map[uint32][]uint64)
 	}
-	s.bases[uint32(fingerprint>>baseBits)] = true
 	record := s.records[fingerprint]
 	if record == nil {
-		record = &suspect{remote: make(map[string]int), updatedAt: s.Clock.Now()}
+		record = &suspicion{evidence: make(map[string]Evidence)}
 		s.records[fingerprint] = record
 	}
 	return record
