--- a/pkg/proxy/admission/queue.go
+++ b/pkg/proxy/admission/queue.go
@@ -64,18 +64,20 @@
 // Queue assigns the slots of one target to calls and queues the calls that
 // have to wait.
 type Queue struct {
-	mu          sync.Mutex
-	slots       int
-	busy        int
-	waiting     []*waiter
-	serviceTime time.Duration            // moving average of the time of a request in the target
-	routeTimes  map[string]time.Duration // serviceTime by route
-	closeReason string                   // reason of every refusal once closed, empty while open
-	rate        *rate.Limiter            // of the limit that the target names, nil while it names none
-	rateNamed   bool                     // a response of the target has told whether it names a limit
-	coldRate    *rate.Limiter            // of the limit that holds while the target is cold, nil before it was cold
-	cold        bool                     // coldRate holds
-	rateTimer   *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
+	mu            sync.Mutex
+	slots         int
+	busy          int
+	waiting       []*waiter
+	serviceTime   time.Duration            // moving average of the time of a request in the target
+	routeTimes    map[string]time.Duration // serviceTime by route
+	closeReason   string                   // reason of every refusal once closed, empty while open
+	rate          *rate.Limiter            // of the limit that the target names, nil while it names none
+	rateNamed     bool                     // a response of the target has told whether it names a limit
+	coldRate      *rate.Limiter            // of the limit that holds while the target is cold, nil before it was cold
+	cold          bool                     // coldRate holds
+	isolated      bool                     // no request gets a slot: one that may crash the target runs alone
+	nextIsolation time.Time                // earliest start of an isolation
+	rateTimer     *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
 }
 
 func NewQueue(slots int) *Queue {
@@ -93,7 +95,7 @@
 		defer q.mu.Unlock()
 		return q.closeReason
 	}
-	if q.busy < q.slots && len(q.waiting) == 0 && q.takeRate() {
+	if q.busy < q.slots && len(q.waiting) == 0 && !q.isolated && q.takeRate() {
 		q.busy++
 		q.mu.Unlock()
 		return ""
@@ -193,7 +195,7 @@
 // grantLocked grants free slots to waiting calls, as far as the rate allows it.
 func (q *Queue) grantLocked() {
 	now := time.Now()
-	for len(q.waiting) > 0 && q.busy < q.slots {
+	for len(q.waiting) > 0 && q.busy < q.slots && !q.isolated {
 		w := q.waiting[0]
 		expired := now.After(w.waitUntil)
 		if !expired && !q.takeRate() {
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -100,7 +100,7 @@
 	ReasonExpired     = "expired"                  // too little time is left before the deadline
 	ReasonVersion     = "version"                  // the version of the target must not be used
 	ReasonStaleConfig = "stale_config"             // the configuration of the caller side is out of date
-	ReasonSuspect     = "suspect"                  // the request has been in flight during several target crashes
+	ReasonSuspect     = "suspect"                  // the request crashes targets, or the connection was lost when it ran as a suspect
 	ReasonTargetDown  = "target_down"              // the target does not accept connections
 	ReasonEvacuated   = "evacuated"                // the failure domain of the target is being evacuated
 	ReasonCallerGone  = admission.ReasonCallerGone // the caller disconnected
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -83,8 +83,8 @@
 	leaveEnd  clock.Instant // no request is sent after it, 0 if the target is not leaving
 	downUntil clock.Instant
 	down      bool
-	stopping  bool // the daemon stops soon; no call is sent anymore
-	inFlight  map[*Call]struct{}
+	stopping  bool           // the daemon stops soon; no call is sent anymore
+	inFlight  map[*Call]bool // whether the call was a suspect when it was sent
 	refusals  map[string]int // by reason
 
 	warmth     warmth
@@ -98,7 +98,7 @@
 	if options.Evacuation == nil {
 		options.Evacuation = noEvacuation{}
 	}
-	return &Gate{GateOptions: options, inFlight: make(map[*Call]struct{}), refusals: make(map[string]int)}
+	return &Gate{GateOptions: options, inFlight: make(map[*Call]bool), refusals: make(map[string]int)}
 }
 
 // SetTarget sets the target after an announcement. A target with a different ID
@@ -233,7 +233,7 @@
 	if !g.Versions.Allowed(g.target.Service, g.target.Version) {
 		return ReasonVersion
 	}
-	if g.Suspects.IsBlocked(call) {
+	if g.Suspects.Check(call) == Refuse {
 		return ReasonSuspect
 	}
 	if time.Until(call.Deadline) < minTimeLeft {
@@ -252,8 +252,8 @@
 		reason = slots.Acquire(ctx, call.request())
 	}
 	if reason == "" {
+		defer g.isolate(ctx, call, slots)()
 		// The conditions may have changed during the wait.
-		g.Suspects.AwaitBody(ctx, call)
 		if _, _, _, reason = g.admit(call); reason != "" {
 			slots.Release(call.Route, 0)
 		}
@@ -278,6 +278,18 @@
 	return result
 }
 
+// isolate makes a suspect that has got a slot run alone if possible, until the returned
+// function is called.
+func (g *Gate) isolate(ctx context.Context, call *Call, slots *admission.Queue) (end func()) {
+	g.Suspects.AwaitBody(ctx, call)
+	needed := func() bool { return g.Suspects.Check(call) == RunAlone }
+	if !needed() {
+		return func() {}
+	}
+	eventSuspectAlone.Log(g.Logger, zap.String("request", call.ID))
+	return slots.Isolate(ctx, needed)
+}
+
 func (g *Gate) countRefusal(reason string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/proxy/innerfailed_test.go
+++ b/pkg/proxy/innerfailed_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -14,11 +16,11 @@
 // because a service that it calls rejects calls: such runs took the retry budget of the
 // calls themselves, and 1,659 of 25,098 runs of the outer service were repeats.
 func TestFailedInnerCallIsNotRepeated(t *testing.T) {
-	g := NewGate(GateOptions{})
+	g := NewGate(GateOptions{Suspects: &Suspects{Clock: &clock.Manual{}, Logger: zap.NewNop()}})
 	call := &Call{ID: "outer", Kind: routing.Idempotent}
 	other := &Call{ID: "other", Kind: routing.Idempotent}
-	g.track(call, true)
-	g.track(other, true)
+	g.track(call)
+	g.track(other)
 	g.RecordInnerFailure("outer.1")
 	g.RecordInnerFailure("unknown.1")
 	g.RecordInnerFailure("outer")
