Grant permits to members only, and treat a rate of 0 as no limit

What callers saw: nothing yet. A datagram from a daemon that is not in the table took permits from the bucket, and its answer was not sent. Evidence: TestPermits, whose last check failed before the change. Limiter accepts a limit without a rate as none.

--- a/pkg/fleet/permits.go
+++ b/pkg/fleet/permits.go
@@ -13,9 +13,13 @@
 	sendPermits(f, to, requests, func(m *pb.SyncRequest, r *pb.PermitRequest) { m.PermitRequests = append(m.PermitRequests, r) })
 }
 
-// handlePermits answers the requests and applies the answers in a datagram.
+// handlePermits answers the requests and applies the answers in a datagram of a member.
+// An answer to another sender would get lost, together with the granted permits.
 func (f *Fleet) handlePermits(message *pb.SyncRequest) {
 	from := message.GetFrom()
+	if _, member := f.Table.Member(from); !member {
+		return
+	}
 	if requests := message.GetPermitRequests(); len(requests) > 0 && f.HandlePermitRequests != nil {
 		grants := f.HandlePermitRequests(from, requests)
 		sendPermits(f, from, grants, func(m *pb.SyncRequest, g *pb.PermitGrant) { m.PermitGrants = append(m.PermitGrants, g) })
--- a/pkg/fleet/permits_test.go
+++ b/pkg/fleet/permits_test.go
@@ -40,4 +40,7 @@
 	waitFor(t, "all requests are answered", func() bool { return granted.Load() == count })
 	assert.Assert(t, messages.Load() <= 3, "%d datagrams", messages.Load())
 	daemons[0].SendPermitRequests("gone", requests)
+	before := messages.Load()
+	daemons[1].handlePermits(&pb.SyncRequest{From: "stranger", PermitRequests: requests[:1]})
+	assert.Equal(t, messages.Load(), before, "a daemon that cannot get the answer was granted permits")
 }
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -74,7 +74,7 @@
 // Acquire waits for a permit to run a request of a workspace. It returns a *LimitError,
 // an *UnaccountedError, or the error of ctx.
 func (l *Limiter) Acquire(ctx context.Context, workspace string) (Permit, error) {
-	if _, limited := l.Limit(workspace); !limited {
+	if _, limited := l.limit(workspace); !limited {
 		return Permit{}, nil
 	}
 	l.mu.Lock()
@@ -105,6 +105,12 @@
 	return Permit{}, &UnaccountedError{workspace}
 }
 
+// limit returns the limit of a workspace. A rate of 0 is no limit.
+func (l *Limiter) limit(workspace string) (Limit, bool) {
+	limit, limited := l.Limit(workspace)
+	return limit, limited && limit.Rate > 0
+}
+
 // Release returns the permit of a request that did not run.
 func (l *Limiter) Release(p Permit) {
 	if p.Workspace == "" {
@@ -155,7 +161,7 @@
 	now := l.Clock.Now()
 	grants := make([]*pb.PermitGrant, 0, len(requests))
 	for _, r := range requests {
-		limit, limited := l.Limit(r.GetWorkspace())
+		limit, limited := l.limit(r.GetWorkspace())
 		if !limited {
 			// The two daemons have different configurations.
 			grants = append(grants, &pb.PermitGrant{Workspace: r.GetWorkspace(), Sequence: r.GetSequence()})
--- a/pkg/quota/limiter_test.go
+++ b/pkg/quota/limiter_test.go
@@ -46,7 +46,12 @@
 	for _, self := range []string{"a", "b"} {
 		limiters[self] = NewLimiter(Options{
 			Self: self, Clock: c, Bounds: testBounds, Members: NewMembers(self, pair{}, c.Now()), Logger: zap.NewNop(),
-			Limit: func(workspace string) (Limit, bool) { return limit, workspace != "unlimited" },
+			Limit: func(workspace string) (Limit, bool) {
+				if workspace == "no rate" {
+					return Limit{}, true
+				}
+				return limit, workspace != "unlimited"
+			},
 			Send: func(to string, requests []*pb.PermitRequest) {
 				if cut.Load() {
 					return
@@ -76,13 +81,14 @@
 			p, err := a.Acquire(t.Context(), workspace)
 			return p, time.Since(started), err
 		}
-		p, took, err := acquire("unlimited")
-		assert.NilError(t, err)
-		assert.Equal(t, p, Permit{})
-		assert.Equal(t, took, time.Duration(0))
-		a.Release(p)
-
-		p, took, err = acquire(otherWorkspace)
+		for _, workspace := range []string{"unlimited", "no rate"} {
+			p, took, err := acquire(workspace)
+			assert.NilError(t, err)
+			assert.Equal(t, p, Permit{})
+			assert.Equal(t, took, time.Duration(0))
+			a.Release(p)
+		}
+		p, took, err := acquire(otherWorkspace)
 		assert.NilError(t, err)
 		assert.Equal(t, took, 2*testTrip)
 		a.Release(p)
