Bound the rankings that are kept for limits of workspaces

What callers saw: nothing. With 3,200 daemons whose heartbeats come and go, 64 rankings of 128 KB each would have been kept (calculated, not measured). Evidence: TestBoundHolds, TestAccountantFails and TestCost pass.

--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -37,7 +37,7 @@
 	// any window, so that the permits of a former accountant do not count any more.
 	viewRetention = 70 * time.Second
 	// maxViews bounds the number of earlier rankings that are kept.
-	maxViews = 64
+	maxViews = 16
 	// knownRetention is the time for which a member without a heartbeat counts as known.
 	// It outlasts most partitions; the table forgets silent members earlier (90 s).
 	knownRetention = 10 * time.Minute
