--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -67,7 +67,7 @@
 		peers, err := n.tryRegister(ctx)
 		if err == nil {
 			n.registered.Store(true)
-			n.target.release()
+			n.releaseTarget()
 			eventRegistered.Log(n.logger, zap.Int("peers", peers))
 			return
 		}
@@ -94,7 +94,7 @@
 		}
 		age := n.clock.Now().Sub(n.startedAt)
 		if n.registered.Load() || age > maxReleaseDelay || age > registerTimeout && mostAreOlder(n.table.Live(), n.table.Local().Incarnation) {
-			n.target.release()
+			n.releaseTarget()
 			return
 		}
 	}
--- a/pkg/node/evacuation.go
+++ b/pkg/node/evacuation.go
@@ -47,3 +47,10 @@
 		eventEvacuation.Log(n.logger, zap.String("domain", change.Domain), zap.Bool("in_force", change.InForce), zap.Uint64("rank", change.Rank))
 	}
 }
+
+// releaseTarget makes the target available. The evacuations that the peers reported are in
+// force before.
+func (n *Node) releaseTarget() {
+	n.applyEvacuations(n.table.Facts())
+	n.target.release()
+}
