Grant permits sooner after a restart of the whole fleet

Cause: an accountant grants nothing for 3.5 s after its start, so that its predecessor can lower its rate. After a restart of all there is none. Change: if most of the registered daemons are connected and none has run since before, the first of the ranking grants at once, from an empty bucket and at half the rate, since two may be in charge until they rank each other.

--- a/pkg/node/limits.go
+++ b/pkg/node/limits.go
@@ -116,6 +116,7 @@
 			Candidate: fleet.Candidate{Name: m.Name, LinkMbps: m.State.LinkMbps, Cores: m.State.Cores},
 			Live:      m.Live(now), Retired: m.State.Stopping || m.State.Leaving, Leaving: m.State.Leaving,
 			HeartbeatAge: now.Sub(m.LastHeartbeat),
+			Older:        m.Incarnation+uint64(olderPeerAge.Milliseconds()) < s.node.table.Local().Incarnation,
 		})
 	})
 	return members
--- a/pkg/proxy/budget_test.go
+++ b/pkg/proxy/budget_test.go
@@ -7,16 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
-func newCall(priority int, deadline time.Duration, inner bool) *Call {
-	return &Call{
-		Route: "r", Kind: routing.Idempotent, Priority: priority, Objective: time.Second, Inner: inner, Deadline: time.Now().Add(deadline),
-	}
-}
-
 // TestRetryBudget guards against more retries by the whole fleet than the
 // configured ratio and slack allow within a window.
 func TestRetryBudget(t *testing.T) {
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -24,8 +24,12 @@
 	// share of the connected members is not known before.
 	tableDelay = 1500 * time.Millisecond
 	// startDelay is the uptime before which a daemon grants nothing. Its predecessor
-	// ranks it by then.
+	// ranks it by then. After a restart of the whole fleet there is no predecessor.
 	startDelay = tableDelay + joinDelay
+	// restartShare is the share of the rate that a daemon grants until startDelay after
+	// a restart of the whole fleet. Two daemons may be in charge until they rank each
+	// other.
+	restartShare = 0.5
 	// joinDelay is the time for which a member must be known before it is ranked. The
 	// previous accountant continues meanwhile.
 	joinDelay = 2 * time.Second
@@ -56,6 +60,7 @@
 	Retired      bool          // it has announced that it takes no roles
 	Leaving      bool          // it has announced that it ends
 	HeartbeatAge time.Duration // since its heartbeat last advanced
+	Older        bool          // its process has run since well before that of the local daemon
 }
 
 // Source reads the members. The version changes with each change of the table.
@@ -92,6 +97,7 @@
 	observed   bool
 	observedAt clock.Instant
 	version    uint64
+	restarted  bool                     // the whole fleet has restarted, as far as the last observation tells
 	firstSeen  map[string]clock.Instant // members that are ranked or will be
 	known      map[string]clock.Instant // last seen in the table
 	views      []*view                  // oldest first; the last is in effect
@@ -123,6 +129,7 @@
 	members := m.source.Members()
 	m.observed, m.observedAt = true, now
 	m.observeShare(now, members)
+	m.restarted = m.allRestarted(now, members)
 	m.forgetAbsent(members)
 	ranked := m.ranked(now, members)
 	if len(m.views) > 0 {
@@ -195,6 +202,26 @@
 	}
 }
 
+// allRestarted reports whether most of the registered daemons are connected, and none of
+// them has run since before the local daemon started. No permits of earlier processes
+// are in use then.
+func (m *Members) allRestarted(now clock.Instant, members []Member) bool {
+	expected, registered := m.source.Expected()
+	if !registered || now.Sub(m.startedAt) >= startDelay {
+		return false
+	}
+	connected := 0
+	for _, member := range members {
+		if member.Older {
+			return false
+		}
+		if member.Name == m.self || member.HeartbeatAge <= freshAfter {
+			connected++
+		}
+	}
+	return connected*2 > max(expected, len(m.known))
+}
+
 func (m *Members) observeShare(now clock.Instant, members []Member) {
 	connected := 0
 	for _, member := range members {
@@ -238,6 +265,9 @@
 	for _, s := range m.shares {
 		lowest = min(lowest, s.value)
 	}
+	if now.Sub(m.startedAt) < startDelay {
+		lowest *= restartShare
+	}
 	return lowest
 }
 
@@ -278,7 +308,10 @@
 	m.refresh(now)
 	top := m.views[len(m.views)-1].accountants(workspace)
 	uptime := min(now.Sub(m.startedAt), viewRetention)
-	if top[0] != m.self && top[1] != m.self || uptime < startDelay {
+	switch {
+	case uptime < startDelay && m.restarted && top[0] == m.self:
+		return inCharge, 0
+	case top[0] != m.self && top[1] != m.self, uptime < startDelay:
 		return noRole, 0
 	}
 	first := m.firstFor(now, workspace, top[0])
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -38,7 +38,7 @@
 // disrupt changes the state of the fleet.
 func (s *simulation) disrupt(r *rapid.T) {
 	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(r, "node")]
-	switch rapid.SampledFrom([]string{"partition", "isolate", "heal", "pause", "restart", "loss"}).Draw(r, "disruption") {
+	switch rapid.SampledFrom([]string{"partition", "isolate", "heal", "pause", "restart", "restart all", "loss"}).Draw(r, "disruption") {
 	case "partition":
 		for _, n := range s.nodes {
 			n.group = rapid.IntRange(0, 2).Draw(r, "group")
@@ -54,6 +54,11 @@
 	case "restart":
 		n.pausedUntil = s.now.Add(time.Duration(rapid.IntRange(10, 5000).Draw(r, "down_ms")) * time.Millisecond)
 		n.restart()
+	case "restart all":
+		for _, n := range s.nodes {
+			n.pausedUntil = s.now.Add(time.Duration(rapid.IntRange(10, 3000).Draw(r, "down_ms")) * time.Millisecond)
+			n.restart()
+		}
 	case "loss":
 		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(r, "loss")
 	}
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -50,6 +50,7 @@
 
 // simNode is a daemon. It is its own source of members.
 type simNode struct {
+	startedAt   clock.Instant
 	sim         *simulation
 	name        string
 	group       int // nodes in different groups cannot reach each other
@@ -87,6 +88,7 @@
 
 func (n *simNode) restart() {
 	n.process++
+	n.startedAt = n.sim.now
 	n.heard = make(map[string]heartbeat)
 	n.members = NewMembers(n.name, n, n.sim.now)
 	n.accountant = NewAccountant(testBounds, n.members)
@@ -109,7 +111,7 @@
 			known, age = true, 0
 		}
 		if known {
-			members = append(members, Member{Candidate: fleet.Candidate{Name: other.name}, Live: age <= 3*time.Second, Retired: other.retired, HeartbeatAge: age})
+			members = append(members, Member{Candidate: fleet.Candidate{Name: other.name}, Live: age <= 3*time.Second, Retired: other.retired, HeartbeatAge: age, Older: n.startedAt.Sub(other.startedAt) > 3*time.Second})
 		}
 	}
 	return members
--- a/pkg/quota/takeover_test.go
+++ b/pkg/quota/takeover_test.go
@@ -27,6 +27,12 @@
 	return t
 }
 
+func (t *takeover) restartAll() {
+	for _, n := range t.nodes {
+		n.restart()
+	}
+}
+
 // refusedFor returns the time from now to the end of the last second with refusals.
 func (t *takeover) refusedFor() (last time.Duration, refused int) {
 	for i := range 20 {
@@ -40,7 +46,7 @@
 }
 
 // TestAccountantFails guards against a workspace that is refused for longer than a new
-// accountant needs, and against refusals after an announced stop and after a short pause
+// accountant needs, also after a restart of the whole fleet, and against refusals after an announced stop and after a short pause
 // of the accountant of a small workspace.
 func TestAccountantFails(t *testing.T) {
 	large, small := Limit{Rate: 480, Burst: 480}, Limit{Rate: 2, Burst: 2}
@@ -56,6 +62,7 @@
 		{"paused, small", small, func(f *takeover) { f.accountant.pausedUntil = f.now.Add(2 * time.Second) }, 0, 0},
 		{"stops, large", large, func(f *takeover) { f.accountant.retired = true }, 0, 0},
 		{"restarts, large", large, func(f *takeover) { f.accountant.restart() }, 4 * time.Second, 1100},
+		{"all restart, large", large, func(f *takeover) { f.restartAll() }, 4 * time.Second, 500},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newTakeover(c.limit, c.limit.Rate/1.6)
