Bound what clients outside the limits use on every listener

Seen: clients with endless heads, empty lines, chunk extensions, trailers and bodies, with pipelined requests that are not read, and with connections that stop in the middle take memory and descriptors without bound at each of the six listeners.

Cause: the head size of callers was 1 MB whatever the configuration said; the servers of announcements, readiness and metrics (hertz) buffer heads of 1 MB and trailers of any size; the fleet server keeps 4 MB and more for each connection; no listener bounds its connections; a body that stops is awaited without a deadline; a response that is not read blocks for ever.

Change: - callers: head size, header timeout and idle timeout of the configuration in force (64 KB, 10 s and 75 s before the first); heads, decoded fields and buffered bodies take memory of the listener's pool, and a connection waits for memory before its request is refused with 503; 408 for a small body that is not complete by the deadline of its request; a time limit for each write. - all other listeners: pkg/connguard wraps the connections and bounds their number, the bytes and the time before a response, and the time of each write. Accepting goes on after a shortage of descriptors. - which connection is closed first: pkg/connlimit. - buffered responses have a bound for the daemon; without room they are streamed. - settings limits.LISTENER.connections and headMemoryBytes, limits.stallMS. - events 2300 to 2302, and counters of closed and refused connections.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -48,9 +48,9 @@
 	// 20 KB or more and whose later messages have tens of bytes, so larger buffers
 	// would stay allocated without use.
 	streamBufferBytes = 8 << 10
-	// maxMessageBytes is the maximum size of one drpc message. Bodies are sent in
+	// MaxMessageBytes is the maximum size of one drpc message. Bodies are sent in
 	// smaller frames.
-	maxMessageBytes = 4 << 20
+	MaxMessageBytes = 4 << 20
 )
 
 var eventConnectionFailed = telemetry.NewEvent(1701, "connection_failed", zapcore.DebugLevel,
@@ -82,7 +82,7 @@
 
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
 		Stream:          drpcstream.Options{SplitSize: streamBufferBytes, MaximumBufferSize: streamBufferBytes},
 		SoftCancel:      true,
 		SoftCancelGrace: softCancelGrace,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -18,6 +18,8 @@
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/connguard"
+	"nutmegstand.example/nutmegstand/pkg/connlimit"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
 	"nutmegstand.example/nutmegstand/pkg/link"
@@ -34,11 +36,6 @@
 	// sweepInterval is the interval between removals of idle connections, unused
 	// statistics and stale store entries.
 	sweepInterval = time.Second
-	// headerTimeout and idleTimeout bound the connections of callers. They are longer
-	// than the times that operators configure, because no connection may be closed
-	// before the configured time.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
 	// suspectPrefix is the key prefix of the facts about requests that crash
 	// targets.
 	suspectPrefix = "suspect/"
@@ -81,6 +78,8 @@
 	startedAt       clock.Instant
 	removedEntries  map[string]uint64 // incarnations whose store entries were removed, by member
 	listeners       map[string]net.Listener
+	pools           map[string]*connlimit.Pool // connections by listener
+	connections     *connguard.Metrics
 	datagrams       net.PacketConn // pushes from and to peers
 	running         sync.WaitGroup
 	failed          chan error
@@ -109,6 +108,9 @@
 	if n.metrics, err = telemetry.NewMetrics(); err != nil {
 		return nil, &StartError{"metrics", err}
 	}
+	if n.connections, err = connguard.NewMetrics(n.metrics.Meter); err != nil {
+		return nil, &StartError{"metrics", err}
+	}
 	if err = n.listen(); err != nil {
 		return nil, &StartError{"listeners", err}
 	}
@@ -128,7 +130,7 @@
 }
 
 func (n *Node) listen() error {
-	n.listeners = make(map[string]net.Listener)
+	n.listeners, n.pools = make(map[string]net.Listener), make(map[string]*connlimit.Pool)
 	for name, address := range map[string]string{
 		"callers": n.settings.Listen.Callers, "daemons": n.settings.Listen.Daemons, "fleet": n.settings.Listen.Fleet,
 		"announcements": n.settings.Listen.Announcements, "readiness": n.settings.Listen.Readiness,
@@ -141,7 +143,7 @@
 		if err != nil {
 			return err
 		}
-		n.listeners[name] = listener
+		n.listeners[name] = n.guard(name, listener)
 	}
 	var err error
 	n.datagrams, err = net.ListenPacket("udp", n.settings.Listen.Fleet)
@@ -185,8 +187,9 @@
 		n.fleet.SetFact(suspectPrefix+strconv.FormatUint(fingerprint, 16)+"/"+s.Name, uint64(crashes), nil)
 	}}
 	uplink := proxy.NewUplink(s.LinkMbps)
+	buffers := proxy.NewBuffers(s.responseMemory())
 	n.gate = proxy.NewGate(proxy.GateOptions{
-		Names: n.platform.Headers, Config: &n.config, Versions: n.moves, Suspects: n.suspects, Uplink: uplink, Clock: n.clock,
+		Names: n.platform.Headers, Config: &n.config, Versions: n.moves, Suspects: n.suspects, Uplink: uplink, Buffers: buffers, Clock: n.clock,
 		DrainPeriod: s.DrainPeriod.Duration(), Logger: n.logger,
 		OnReachabilityChange: func() { n.target.refresh() },
 		OnLeaving:            func(id string) { n.target.handleLeaving(id) },
@@ -203,12 +206,12 @@
 	n.budget = proxy.NewRetryBudget(s.Retries.Ratio, s.Retries.Slack, s.Retries.Window.Duration(), n.table.LiveCount)
 	ingress := proxy.NewIngress(proxy.IngressOptions{
 		Names: n.platform.Headers, Service: s.Service, LinkMbps: s.LinkMbps, Config: &n.config, Directory: view, Versions: n.moves,
-		Recorder: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers,
+		Recorder: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers, Buffers: buffers,
 		Budget: n.budget, Leaving: n.leaving.Load, Refusing: n.refusing.Load, Logger: n.logger, Metrics: instruments,
 	})
 	n.callers = proxy.NewCallerServer(proxy.CallerServerOptions{
-		Handler: ingress, ReadAhead: ingress.ReadAhead, Leaving: n.leaving.Load, HeaderBytes: http.DefaultMaxHeaderBytes,
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Logger: n.logger,
+		Handler: ingress, ReadAhead: ingress.ReadAhead, Leaving: n.leaving.Load, Limits: n.callerLimits,
+		Stall: s.stall(), Pool: n.pools["callers"], Reporter: n.reporter("callers"), Logger: n.logger,
 	})
 	n.daemons = newServer(proxy.Inbound{Names: n.platform.Headers, Target: n.gate, Uplink: uplink}, n.logger)
 }
--- a/pkg/node/server.go
+++ b/pkg/node/server.go
@@ -9,9 +9,13 @@
 
 	"go.uber.org/zap"
 
+	"nutmegstand.example/nutmegstand/pkg/connguard"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
 )
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
 // server is an HTTP server that counts the requests in progress.
 type server struct {
 	http   *http.Server
@@ -24,9 +28,21 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.active.Add(1)
 			defer s.active.Add(-1)
+			if conn, ok := r.Context().Value(connKey{}).(*connguard.Conn); ok {
+				conn.StartRequest()
+				defer conn.EndRequest()
+			}
 			handler.ServeHTTP(w, r)
 		}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: proxy.ServerLog(logger),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if guarded, ok := conn.(*connguard.Conn); ok && state == http.StateIdle {
+				guarded.AwaitRequest()
+			}
+		},
 	}
 	return s
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -64,6 +64,7 @@
 	GCPercent        int          `json:"gcPercent"` // heap growth between collections in percent (GOGC), 0 for the default of the Go runtime
 	LinkMbps         float64      `json:"linkMbps"`  // link of the machine, 0 if unknown
 	Cores            float64      `json:"cores"`     // CPU limit of the daemon in cores, 0 if unknown
+	Limits           Limits       `json:"limits,omitzero"`
 }
 
 // SettingsError reports a settings file that cannot be used.
@@ -139,5 +140,6 @@
 	if s.MemoryLimitBytes < 0 {
 		add("memoryLimitBytes", s.MemoryLimitBytes, "0 for no limit, or a positive number of bytes")
 	}
+	s.Limits.check(add)
 	return errors.Join(problems...)
 }
--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/connlimit"
 )
 
 // callerConn is a connection of a caller. One goroutine reads the requests, and one
@@ -20,6 +23,7 @@
 type callerConn struct {
 	server *CallerServer
 	conn   net.Conn
+	slot   *connlimit.Conn
 	limit  *headLimit
 	reader *bufio.Reader
 	writer *bufio.Writer // used by the exchange whose turn it is
@@ -28,6 +32,8 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond // an exchange has ended, or reading has stopped
+	memory  int64      // taken for the request that is being read
+	late    bool       // a header did not arrive in time
 	pending int        // exchanges that have not ended
 	last    *callerExchange
 	waiting bool // for the first byte of the next request
@@ -35,7 +41,9 @@
 }
 
 func newCallerConn(s *CallerServer, conn net.Conn) *callerConn {
-	c := &callerConn{server: s, conn: conn, limit: newHeadLimit(conn), writer: bufio.NewWriterSize(conn, connBuffer)}
+	c := &callerConn{server: s, conn: conn, limit: newHeadLimit(conn)}
+	c.writer = bufio.NewWriterSize(stallWriter{conn, s.Stall}, connBuffer)
+	c.limit.onRead = c.take
 	c.reader = bufio.NewReaderSize(c.limit, connBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.changed = sync.NewCond(&c.mu)
@@ -45,6 +53,7 @@
 func (c *callerConn) serve() {
 	defer c.server.remove(c)
 	defer c.cancel()
+	defer c.reportTimeout()
 	for {
 		r, err := c.readRequest()
 		if err != nil {
@@ -79,19 +88,21 @@
 			_, _ = c.reader.Discard(1)
 		}
 	}
-	c.limit.start(c.server.HeaderBytes)
-	defer c.limit.stop()
+	buffered := c.reader.Buffered()
+	c.limit.start(c.server.Limits().HeaderBytes)
 	r, err := http.ReadRequest(c.reader)
-	switch {
-	case err != nil && c.limit.exceeded():
-		return nil, &requestError{errHeaderTooLarge}
-	case err != nil:
+	c.limit.stop()
+	if cause := c.limit.cause; cause != nil {
+		return nil, &requestError{cause}
+	}
+	if err != nil {
+		c.late = errors.Is(err, os.ErrDeadlineExceeded)
 		return nil, &requestError{err}
 	}
 	if r.ProtoMajor != 1 || r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return nil, &requestError{fmt.Errorf("proxy: request with protocol %q and host %q, want HTTP/1.x with a host", r.Proto, r.Host)}
 	}
-	return r, nil
+	return r, c.takeDecoded(r, buffered+int(c.memory)-c.reader.Buffered())
 }
 
 // requestError reports a request whose header cannot be read.
@@ -111,11 +122,11 @@
 	c.waiting = waiting
 	switch {
 	case !waiting:
-		c.setReadDeadline(c.server.HeaderTimeout)
+		c.setReadDeadline(c.server.Limits().HeaderTimeout)
 	case c.stopped:
 		c.setReadDeadline(time.Nanosecond)
 	case c.pending == 0:
-		c.setReadDeadline(c.server.IdleTimeout)
+		c.setReadDeadline(c.server.Limits().IdleTimeout)
 	default:
 		c.setReadDeadline(0)
 	}
@@ -142,6 +153,8 @@
 		return nil
 	}
 	x := newCallerExchange(c, r)
+	x.memory, c.memory = c.memory, 0
+	c.slot.Begin()
 	c.pending++
 	c.last = x
 	if r.Close || !r.ProtoAtLeast(1, 1) {
@@ -162,6 +175,8 @@
 // end ends an exchange. With stop, its response was the last one of the connection.
 func (c *callerConn) end(x *callerExchange, stop bool) {
 	c.server.active.Add(-1)
+	c.slot.Release(x.memory)
+	c.slot.End()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
@@ -177,7 +192,7 @@
 	case c.stopped:
 		c.closeWrite()
 	case c.waiting:
-		c.setReadDeadline(c.server.IdleTimeout)
+		c.setReadDeadline(c.server.Limits().IdleTimeout)
 	}
 }
 
@@ -247,12 +262,17 @@
 func (c *callerConn) rejectMalformed(err error) {
 	var malformed *requestError
 	var network net.Error
-	if !errors.As(err, &malformed) || errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if !errors.As(err, &malformed) || errors.As(err, &network) || errors.Is(err, errCallerGone) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return
 	}
-	status := http.StatusBadRequest
-	if errors.Is(err, errHeaderTooLarge) {
+	status, fields := http.StatusBadRequest, ""
+	switch {
+	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
+		c.server.Reporter.Closed(connlimit.Size)
+	case errors.Is(err, errNoRoom):
+		status, fields = http.StatusServiceUnavailable, "Retry-After: 1\r\n"
+		c.server.Reporter.Refused(connlimit.Memory)
 	}
 	eventServerError.Log(c.server.Logger, zap.Int("status", status), zap.String("error", err.Error()))
 	c.mu.Lock()
@@ -262,7 +282,7 @@
 	stopped := c.stopped
 	c.mu.Unlock()
 	if !stopped {
-		_, _ = fmt.Fprintf(c.conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
+		_, _ = fmt.Fprintf(stallWriter{c.conn, c.server.Stall}, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), fields)
 	}
 }
 
--- a/pkg/proxy/callerexchange.go
+++ b/pkg/proxy/callerexchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // callerExchange is a request of a caller and its response. It implements
@@ -22,6 +23,7 @@
 	turn    <-chan struct{} // closed when the response may be written, nil at once
 	ended   chan struct{}   // closed when the response has been written
 	cancel  context.CancelFunc
+	memory  int64 // taken for the request
 
 	header      http.Header
 	wroteHeader bool
@@ -68,6 +70,14 @@
 // written before the request body has been read.
 func (x *callerExchange) EnableFullDuplex() error { return nil }
 
+// SetReadDeadline is part of http.ResponseController. It applies to the request body.
+func (x *callerExchange) SetReadDeadline(deadline time.Time) error {
+	if x.body == nil {
+		return nil
+	}
+	return x.conn.conn.SetReadDeadline(deadline)
+}
+
 // WriteHeader implements http.ResponseWriter.
 func (x *callerExchange) WriteHeader(status int) {
 	if x.wroteHeader {
@@ -220,7 +230,7 @@
 	}
 	if b.sendContinue {
 		b.sendContinue = false
-		if _, err := io.WriteString(b.conn.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(stallWriter{b.conn.conn, b.conn.server.Stall}, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
--- /dev/null
+++ b/pkg/proxy/callerroom.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/connlimit"
+)
+
+// errNoRoom is the error of a request for which there is no memory.
+var errNoRoom = errors.New("proxy: no memory for the request")
+
+// take takes memory of the listener for a part of a request. While there is none, it
+// waits: for earlier requests of the connection without a limit, since they end with
+// their timeouts, and for others up to the header timeout.
+func (c *callerConn) take(bytes int) error {
+	if c.tryTake(bytes) {
+		return nil
+	}
+	// The header timeout applies to the caller and not to this wait.
+	defer func() { c.setReadDeadline(c.server.Limits().HeaderTimeout) }()
+	for waitEnd := time.Now().Add(c.server.Limits().HeaderTimeout); ; {
+		pending, stopped := c.state()
+		if pending {
+			waitEnd = time.Now().Add(c.server.Limits().HeaderTimeout)
+		}
+		switch {
+		case stopped:
+			return errCallerGone
+		case time.Now().After(waitEnd):
+			return errNoRoom
+		}
+		time.Sleep(pollInterval)
+		if c.tryTake(bytes) {
+			return nil
+		}
+	}
+}
+
+func (c *callerConn) tryTake(bytes int) bool {
+	if bytes > 0 && !c.slot.Take(int64(bytes)) {
+		return false
+	}
+	c.memory += int64(max(bytes, 0))
+	return true
+}
+
+func (c *callerConn) state() (pending, stopped bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 0, c.stopped || c.ctx.Err() != nil
+}
+
+// takeDecoded takes memory for a request that has been read, for which take has been
+// called so far: its header of the given size, the decoded header fields and the part of
+// its body that is buffered.
+func (c *callerConn) takeDecoded(r *http.Request, headerBytes int) error {
+	bytes := headerBytes - int(c.memory)
+	for _, values := range r.Header {
+		bytes += len(values) * headerFieldBytes
+	}
+	switch {
+	case r.ContentLength < 0 || r.ContentLength > replayLimit:
+		bytes += replayLimit
+	default:
+		bytes += int(r.ContentLength)
+	}
+	if err := c.take(bytes); err != nil {
+		return &requestError{err}
+	}
+	return nil
+}
+
+// evict closes the connection because of a limit.
+func (c *callerConn) evict(reason connlimit.Reason) {
+	c.server.Reporter.Closed(reason)
+	c.abort()
+}
+
+// reportTimeout reports a connection that ended because a header did not arrive in
+// time.
+func (c *callerConn) reportTimeout() {
+	if c.late {
+		c.server.Reporter.Closed(connlimit.Time)
+	}
+}
+
+// stallWriter writes to a caller, which must take each part within the time stall.
+type stallWriter struct {
+	net.Conn
+	stall time.Duration
+}
+
+// Write implements io.Writer.
+func (w stallWriter) Write(p []byte) (int, error) {
+	if w.stall > 0 {
+		_ = w.Conn.SetWriteDeadline(time.Now().Add(w.stall)) // fails on a closed connection only, as the write does
+	}
+	return w.Conn.Write(p)
+}
--- a/pkg/proxy/callerserver.go
+++ b/pkg/proxy/callerserver.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -8,6 +9,9 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"nutmegstand.example/nutmegstand/pkg/connguard"
+	"nutmegstand.example/nutmegstand/pkg/connlimit"
 )
 
 const (
@@ -21,20 +25,30 @@
 	// maxDiscardedBody is the size in bytes up to which the rest of a request body is
 	// read and discarded after an early response, to keep the connection.
 	maxDiscardedBody = 256 << 10
+	// headerFieldBytes is the memory of a decoded header field besides its text.
+	headerFieldBytes = 128
 )
 
+// CallerLimits are the limits on the requests of callers that are in force.
+type CallerLimits struct {
+	HeaderBytes   int // maximum size of a request header
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
 // CallerServerOptions configure a CallerServer.
 type CallerServerOptions struct {
 	Handler http.Handler
 	// ReadAhead reports whether a request may be served while earlier requests of its
 	// connection are being served. It may then run before them, and again on another
 	// connection if this one breaks.
-	ReadAhead     func(*http.Request) bool
-	Leaving       func() bool // reports whether connections must be closed after the current requests
-	HeaderBytes   int         // maximum size of a request header
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-	Logger        *zap.Logger
+	ReadAhead func(*http.Request) bool
+	Leaving   func() bool // reports whether connections must be closed after the current requests
+	Limits    func() CallerLimits
+	Stall     time.Duration       // within which a caller must take a part of a response
+	Pool      *connlimit.Pool     // limits the connections and the memory of requests
+	Reporter  *connguard.Reporter // nil for none
+	Logger    *zap.Logger
 }
 
 // CallerServer is an HTTP/1.1 server for callers that send further requests before
@@ -53,6 +67,9 @@
 
 // NewCallerServer returns a server without connections.
 func NewCallerServer(options CallerServerOptions) *CallerServer {
+	if options.Pool == nil {
+		options.Pool = connlimit.NewPool(connlimit.Limits{Connections: math.MaxInt, Memory: math.MaxInt64})
+	}
 	return &CallerServer{CallerServerOptions: options, conns: make(map[*callerConn]struct{}), ended: make(chan struct{})}
 }
 
@@ -77,7 +94,7 @@
 				return http.ErrServerClosed
 			}
 			if temporary(err) {
-				eventServerError.Log(s.Logger, zap.String("error", err.Error()))
+				s.Reporter.AcceptFailed(err)
 				time.Sleep(pollInterval)
 				continue
 			}
@@ -111,11 +128,16 @@
 		return nil
 	}
 	c := newCallerConn(s, conn)
+	if c.slot = s.Pool.Add(c.evict); c.slot == nil {
+		s.Reporter.Refused(connlimit.Room)
+		return nil
+	}
 	s.conns[c] = struct{}{}
 	return c
 }
 
 func (s *CallerServer) remove(c *callerConn) {
+	c.slot.Remove()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -56,6 +56,7 @@
 	Versions             VersionPolicy
 	Suspects             *Suspects
 	Uplink               *Uplink
+	Buffers              *Buffers // of responses, nil for no bound
 	Clock                clock.Clock
 	DrainPeriod          time.Duration // from the acknowledgement that the target leaves until its last request
 	Logger               *zap.Logger
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -29,6 +29,10 @@
 // side, which knows the exact deadline, ends the call first.
 const deadlineGrace = 200 * time.Millisecond
 
+// bodyGrace is added to the deadline of a call for the rest of its body. The call has
+// ended then.
+const bodyGrace = 2 * deadlineGrace
+
 // encodeHeader returns a message encoded as a header value.
 func encodeHeader(m proto.Message) string {
 	data, err := proto.Marshal(m)
@@ -239,6 +243,8 @@
 	}
 	allowEarlyResponse(w)
 	if call.Body != nil {
+		// A body that stops would keep the connection after the end of the call.
+		_ = http.NewResponseController(w).SetReadDeadline(call.Deadline.Add(bodyGrace))
 		if err := call.Body.Prefetch(); err != nil {
 			return // the caller disconnected while sending the request
 		}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -63,6 +63,7 @@
 	Budget    *RetryBudget
 	Gate      *Gate
 	Peers     *Peers
+	Buffers   *Buffers    // of responses, nil for no bound
 	Leaving   func() bool // reports whether the daemon is about to stop
 	Refusing  func() bool // reports whether new requests could not complete before the stop
 	Logger    *zap.Logger
@@ -191,9 +192,8 @@
 
 func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, s *requestState) {
 	if s.call.Body != nil {
-		if err := s.call.Body.Prefetch(); err != nil {
-			s.finish("caller_gone", 0)
-			panic(http.ErrAbortHandler)
+		if late := s.prefetch(w); late {
+			return
 		}
 	}
 	i.Budget.RecordRequest(s.call.Service)
@@ -321,7 +321,7 @@
 		result = i.Peers.Do(ctx, e.Address, s.call)
 	}
 	if result.Outcome == Answered {
-		result.bufferBody()
+		result.bufferBody(i.Buffers)
 	}
 	if result.buffered {
 		i.Balancer.RecordSize(s.call.Route, result.Length)
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -137,8 +137,10 @@
 	assert.NilError(t, err)
 	s := &callerServer{address: listener.Addr().String(), URL: "http://" + listener.Addr().String()}
 	s.CallerServer = proxy.NewCallerServer(proxy.CallerServerOptions{
-		Handler: handler, ReadAhead: readAhead, Leaving: leaving, HeaderBytes: 8 << 10,
-		HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second, Logger: zap.NewNop(),
+		Handler: handler, ReadAhead: readAhead, Leaving: leaving, Logger: zap.NewNop(),
+		Limits: func() proxy.CallerLimits {
+			return proxy.CallerLimits{HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+		},
 	})
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() { s.Close(time.Second) })
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -89,7 +89,7 @@
 		Outcome: Answered, Status: r.StatusCode, Header: endToEnd(r.Header), Length: r.ContentLength, Body: body,
 		Load: load, Ran: time.Since(started),
 	}
-	result.bufferBody()
+	result.bufferBody(g.Buffers)
 	return result
 }
 
--- a/pkg/telemetry/event.go
+++ b/pkg/telemetry/event.go
@@ -14,7 +14,7 @@
 // Event is one entry of the event catalogue in docs/events.md. Numbers are
 // assigned by package: 1000 daemon, 1100 admin, 1200 accept, 1300 domain,
 // 1400 move, 1500 route, 1600 target, 1700 link, 1800 store, 1900 fleet,
-// 2000 proxy, 2100 rollout, 2200 node; 900 is for the logger itself.
+// 2000 proxy, 2100 rollout, 2200 node, 2300 connguard; 900 is for the logger itself.
 type Event struct {
 	Number  int
 	Name    string
