--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
 
@@ -23,5 +24,32 @@
 			o.Observe(n.store.contactAge().Seconds())
 			return nil
 		}))
+	if err != nil {
+		return err
+	}
+	return n.registerConnections(meter)
+}
+
+// registerConnections registers the gauges of the connections by listener.
+func (n *Node) registerConnections(meter metric.Meter) error {
+	connections, err := meter.Int64ObservableGauge("nutmegstand_connections",
+		metric.WithDescription("Open connections by listener, and by whether they have completed a request."))
+	if err != nil {
+		return err
+	}
+	memory, err := meter.Int64ObservableGauge("nutmegstand_head_memory_bytes",
+		metric.WithDescription("Memory of heads and of requests that were read ahead, by listener."))
+	if err != nil {
+		return err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for name, pool := range n.pools {
+			listener, usage := attribute.String("listener", name), pool.Usage()
+			o.ObserveInt64(connections, int64(usage.Fresh), metric.WithAttributes(listener, attribute.Bool("served", false)))
+			o.ObserveInt64(connections, int64(usage.Served), metric.WithAttributes(listener, attribute.Bool("served", true)))
+			o.ObserveInt64(memory, usage.Memory, metric.WithAttributes(listener))
+		}
+		return nil
+	}, connections, memory)
 	return err
 }
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -132,16 +132,24 @@
 }
 
 func startCallerServer(t testing.TB, handler http.Handler, readAhead func(*http.Request) bool, leaving func() bool) *callerServer {
+	t.Helper()
+	return startLimitedServer(t, handler, func(o *proxy.CallerServerOptions) { o.ReadAhead, o.Leaving = readAhead, leaving })
+}
+
+// startLimitedServer starts a server whose options are changed by change.
+func startLimitedServer(t testing.TB, handler http.Handler, change func(*proxy.CallerServerOptions)) *callerServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &callerServer{address: listener.Addr().String(), URL: "http://" + listener.Addr().String()}
-	s.CallerServer = proxy.NewCallerServer(proxy.CallerServerOptions{
-		Handler: handler, ReadAhead: readAhead, Leaving: leaving, Logger: zap.NewNop(),
+	options := proxy.CallerServerOptions{
+		Handler: handler, ReadAhead: repeatable, Leaving: never, Logger: zap.NewNop(),
 		Limits: func() proxy.CallerLimits {
 			return proxy.CallerLimits{HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
 		},
-	})
+	}
+	change(&options)
+	s := &callerServer{address: listener.Addr().String(), URL: "http://" + listener.Addr().String()}
+	s.CallerServer = proxy.NewCallerServer(options)
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() { s.Close(time.Second) })
 	return s
--- a/test/platform/hostile/ordinary_test.go
+++ b/test/platform/hostile/ordinary_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +48,11 @@
 	for err := range errs {
 		assert.NilError(t, err)
 	}
+	log, err := os.ReadFile(d.process.Log)
+	assert.NilError(t, err)
+	for _, event := range []string{"connections_closed", "connections_refused"} {
+		assert.Assert(t, !strings.Contains(string(log), event), "a limit took effect: %s", event)
+	}
 }
 
 // sendHeartbeats sends heartbeats of the target until done is closed.
