End the tasks of fleet connections that were closed, and count requests in progress

Seen in a trial with 3,600 clients at all six listeners and a limit of 184 MB: 224 MB, and 2,035 of the 2,048 tasks of the daemon kept by fleet connections that had been closed.

Cause: after some bytes that are no call drpc waits for a call, without a read that would notice the end of the connection. Before connections were limited this needed 2,048 open ones; closing them made room for more. Requests in progress of callers counted with their heads only, without stacks and buffers. The soft limit of the Go runtime was the whole memory of the process, which includes the pages of the program that the runtime does not count.

Change: a closed connection cancels its task; a fleet connection without a call ends after 75 s (clients close theirs after 60 s); 16 KB for each request in progress of a caller, and three times the bytes of a head that is being read; the soft limit of the Go runtime is 85% of memoryLimitBytes.

--- a/cmd/nutmegnode/main.go
+++ b/cmd/nutmegnode/main.go
@@ -26,7 +26,7 @@
 		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
 	}
 	return &service.Program{
-		MemoryLimit: s.MemoryLimitBytes, GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
+		MemoryLimit: s.RuntimeMemoryLimit(), GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
 		Build: func(l *zap.Logger) (service.Runner, error) { return node.New(s, p, l) },
 	}, nil
 }
--- a/pkg/connguard/listener.go
+++ b/pkg/connguard/listener.go
@@ -4,6 +4,7 @@
 package connguard
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,7 @@
 // guard returns the connection with its limits, or nil if there is no room for it.
 func (l *Listener) guard(accepted net.Conn) net.Conn {
 	c := &Conn{Conn: accepted, listener: l}
+	c.ended, c.end = context.WithCancel(context.Background())
 	c.slot = l.Pool.Add(c.closeFor)
 	if c.slot == nil {
 		l.Reporter.Refused(connlimit.Room)
@@ -94,6 +96,8 @@
 	listener *Listener
 	slot     *connlimit.Conn
 	closed   atomic.Bool
+	ended    context.Context // done when the connection is closed
+	end      context.CancelFunc
 
 	requestState
 }
@@ -106,15 +110,24 @@
 		return
 	}
 	c.listener.Reporter.Closed(reason)
+	_ = c.release()
+}
+
+// release ends the connection.
+func (c *Conn) release() error {
+	c.end()
 	c.slot.Remove()
-	_ = c.Conn.Close()
+	return c.Conn.Close()
 }
 
+// AfterClose calls f in a goroutine of its own when the connection is closed. A server
+// that does not read at that moment would not notice it.
+func (c *Conn) AfterClose(f func()) { context.AfterFunc(c.ended, f) }
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
 		return nil
 	}
-	c.slot.Remove()
-	return c.Conn.Close()
+	return c.release()
 }
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -36,6 +36,9 @@
 	unackedTimeout = time.Second
 	// idleTimeout is the time after which unused pooled connections are closed.
 	idleTimeout = 60 * time.Second
+	// inactivityTimeout is the time after which a server closes a connection without a
+	// call. Clients close unused connections earlier.
+	inactivityTimeout = idleTimeout + 15*time.Second
 	// maxIdlePerPeer and maxIdle limit the number of idle connections and so the
 	// memory that they use.
 	maxIdlePerPeer = 4
@@ -183,6 +186,7 @@
 
 func newServer(handler drpc.Handler, tasks *ants.Pool, logger *zap.Logger) *Server {
 	options := drpcserver.Options{Manager: managerOptions()}
+	options.Manager.InactivityTimeout = inactivityTimeout
 	return &Server{server: drpcserver.NewWithOptions(recovering{handler, logger}, options), tasks: tasks, logger: logger}
 }
 
@@ -212,6 +216,10 @@
 
 func (e *PanicError) Error() string { return fmt.Sprintf("link: call %s: panic: %v", e.Call, e.Panic) }
 
+// closeNotifier is a connection that calls a function when it is closed by others. drpc
+// notices that only while it reads or writes, and after some bytes it does neither.
+type closeNotifier interface{ AfterClose(f func()) }
+
 // Serve accepts connections until ctx ends or the listener fails.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -237,6 +245,12 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	if c, ok := conn.(closeNotifier); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		c.AfterClose(cancel)
+	}
 	if err := s.ServeConn(ctx, conn); err != nil && ctx.Err() == nil {
 		eventConnectionFailed.Log(s.logger, zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
 	}
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -83,7 +83,7 @@
 	n.gate.SetDrainPeriod(s.DrainPeriod.Duration())
 	n.stopGrace.Store(int64(s.StopGrace.Duration()))
 	if s.MemoryLimitBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryLimitBytes)
+		debug.SetMemoryLimit(s.RuntimeMemoryLimit())
 	}
 	eventReload.Log(n.logger, zap.Any("retries", s.Retries), zap.Duration("drain_period", s.DrainPeriod.Duration()),
 		zap.Duration("stop_grace", s.StopGrace.Duration()), zap.Int64("memory_limit", s.MemoryLimitBytes))
--- a/pkg/node/limits.go
+++ b/pkg/node/limits.go
@@ -17,6 +17,10 @@
 	daemonMemoryShare   = 16
 	smallMemoryShare    = 64
 	responseMemoryShare = 16
+	// runtimeMemoryShare is the part of memoryLimitBytes that is the soft limit of the
+	// Go runtime. The runtime does not count the pages of the program itself, some 15
+	// MB, and exceeds its limit for a moment when memory is needed fast.
+	runtimeMemoryShare = 0.85
 	// maxConnections is the upper end of the allowed range of connections. The
 	// smallest machines have 4,100 file descriptors.
 	maxConnections = 65536
@@ -105,6 +109,11 @@
 	return s.MemoryLimitBytes
 }
 
+// RuntimeMemoryLimit returns the soft limit of the Go runtime in bytes, 0 for none.
+func (s *Settings) RuntimeMemoryLimit() int64 {
+	return int64(float64(s.MemoryLimitBytes) * runtimeMemoryShare)
+}
+
 // responseMemory returns the memory for buffered responses in bytes.
 func (s *Settings) responseMemory() int64 { return max(s.memory()/responseMemoryShare, minHeadMemory) }
 
--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -43,7 +43,7 @@
 func newCallerConn(s *CallerServer, conn net.Conn) *callerConn {
 	c := &callerConn{server: s, conn: conn, limit: newHeadLimit(conn)}
 	c.writer = bufio.NewWriterSize(stallWriter{conn, s.Stall}, connBuffer)
-	c.limit.onRead = c.take
+	c.limit.onRead = c.takeRead
 	c.reader = bufio.NewReaderSize(c.limit, connBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.changed = sync.NewCond(&c.mu)
@@ -102,7 +102,7 @@
 	if r.ProtoMajor != 1 || r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return nil, &requestError{fmt.Errorf("proxy: request with protocol %q and host %q, want HTTP/1.x with a host", r.Proto, r.Host)}
 	}
-	return r, c.takeDecoded(r, buffered+int(c.memory)-c.reader.Buffered())
+	return r, c.takeDecoded(r, buffered+int(c.memory/headReadFactor)-c.reader.Buffered())
 }
 
 // requestError reports a request whose header cannot be read.
--- a/pkg/proxy/callerroom.go
+++ b/pkg/proxy/callerroom.go
@@ -12,6 +12,9 @@
 // errNoRoom is the error of a request for which there is no memory.
 var errNoRoom = errors.New("proxy: no memory for the request")
 
+// takeRead takes memory for a part of a header.
+func (c *callerConn) takeRead(bytes int) error { return c.take(bytes * headReadFactor) }
+
 // take takes memory of the listener for a part of a request. While there is none, it
 // waits: for earlier requests of the connection without a limit, since they end with
 // their timeouts, and for others up to the header timeout.
@@ -40,10 +43,10 @@
 }
 
 func (c *callerConn) tryTake(bytes int) bool {
-	if bytes > 0 && !c.slot.Take(int64(bytes)) {
+	if !c.slot.Take(int64(bytes)) {
 		return false
 	}
-	c.memory += int64(max(bytes, 0))
+	c.memory += int64(bytes)
 	return true
 }
 
@@ -53,11 +56,11 @@
 	return c.pending > 0, c.stopped || c.ctx.Err() != nil
 }
 
-// takeDecoded takes memory for a request that has been read, for which take has been
-// called so far: its header of the given size, the decoded header fields and the part of
-// its body that is buffered.
+// takeDecoded takes the memory of a request that has been read, in place of that taken
+// while its header of the given size was read: the header with its decoded fields and
+// the part of the body that is buffered.
 func (c *callerConn) takeDecoded(r *http.Request, headerBytes int) error {
-	bytes := headerBytes - int(c.memory)
+	bytes := requestBytes + headerBytes
 	for _, values := range r.Header {
 		bytes += len(values) * headerFieldBytes
 	}
@@ -67,7 +70,11 @@
 	default:
 		bytes += int(r.ContentLength)
 	}
-	if err := c.take(bytes); err != nil {
+	if surplus := int(c.memory) - bytes; surplus > 0 {
+		c.slot.Release(int64(surplus))
+		c.memory -= int64(surplus)
+	}
+	if err := c.take(bytes - int(c.memory)); err != nil {
 		return &requestError{err}
 	}
 	return nil
--- a/pkg/proxy/callerserver.go
+++ b/pkg/proxy/callerserver.go
@@ -27,6 +27,12 @@
 	maxDiscardedBody = 256 << 10
 	// headerFieldBytes is the memory of a decoded header field besides its text.
 	headerFieldBytes = 128
+	// requestBytes is the memory of a request in progress besides its header: two
+	// stacks, contexts, timers and a copy buffer.
+	requestBytes = 16 << 10
+	// headReadFactor is the memory that is used for one byte of a header while it is
+	// being read. The parser doubles its buffer for a long line.
+	headReadFactor = 3
 )
 
 // CallerLimits are the limits on the requests of callers that are in force.
