Close connections whose clients take no response when a listener is full

Callers saw (by reading, then in a test): clients that ask for large responses and do not read them keep their connections for stallMS (30 s); as requests in progress they were never closed for others, so enough of them fill a listener and new callers are refused.

If a listener is full and no connection without a request in progress is left, a stalled one is closed. Also: the header of a request between daemons may have 128 KB whatever this daemon's configuration says, since the caller side may already have one with a larger maximum.

go test -race of pkg/proxy, pkg/connguard, pkg/connlimit, pkg/node and pkg/link passes, and so does go test ./test/platform/hostile (peaks 31, 29, 27, 48, 51 and 49 MB).

--- a/pkg/connguard/request.go
+++ b/pkg/connguard/request.go
@@ -109,8 +109,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.listener.Stall)) // fails on a closed connection only, as the write does
-	n, err := c.Conn.Write(p)
+	n, err := Write(c.Conn, c.slot, p, c.listener.Stall)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.closeFor(connlimit.Time)
--- a/pkg/connlimit/connlimit.go
+++ b/pkg/connlimit/connlimit.go
@@ -55,19 +55,20 @@
 
 // Conn is a connection in a pool.
 type Conn struct {
-	pool   *Pool
-	evict  func(Reason)
-	queue  *list.List // fresh or served, nil after the end
-	place  *list.Element
-	active int // requests in progress
-	memory int64
+	pool    *Pool
+	evict   func(Reason)
+	queue   *list.List // fresh or served, nil after the end
+	place   *list.Element
+	active  int  // requests in progress
+	stalled bool // its client does not take a response
+	memory  int64
 }
 
 // Add adds a connection. If the pool is full, it closes another connection in place of
 // which this one is added: among those without a request in progress the oldest that
-// has not completed a request, or else the one whose latest request is the longest ago.
-// It returns nil if there is none. evict is called, without a lock, when the connection
-// has to be closed.
+// has not completed a request, or else the one whose latest request is the longest ago;
+// after these one whose client does not take a response. It returns nil if there is none.
+// evict is called, without a lock, when the connection has to be closed.
 func (p *Pool) Add(evict func(Reason)) *Conn {
 	p.mu.Lock()
 	var victim *Conn
@@ -89,21 +90,35 @@
 
 // victim returns the first connection to close, nil if there is none.
 func (p *Pool) victim() *Conn {
-	if victim := before(&p.fresh, nil, false); victim != nil {
-		return victim
+	for _, queue := range []*list.List{&p.fresh, &p.served} {
+		if victim := before(queue, nil, idle); victim != nil {
+			return victim
+		}
+	}
+	for _, queue := range []*list.List{&p.fresh, &p.served} {
+		if victim := before(queue, nil, stalled); victim != nil {
+			return victim
+		}
 	}
-	return before(&p.served, nil, false)
+	return nil
 }
 
-// before returns the first connection of a queue without a request in progress that
-// comes before c, nil if there is none. With holding it has taken memory.
-func before(queue *list.List, c *Conn, holding bool) *Conn {
+func idle(c *Conn) bool { return c.active == 0 }
+
+func stalled(c *Conn) bool { return c.stalled }
+
+// holding reports whether closing the connection for its memory is of use.
+func holding(c *Conn) bool { return c.memory > 0 && (c.active == 0 || c.stalled) }
+
+// before returns the first connection of a queue that suits and comes before c, nil if
+// there is none.
+func before(queue *list.List, c *Conn, suits func(*Conn) bool) *Conn {
 	for place := queue.Front(); place != nil; place = place.Next() {
 		other := place.Value.(*Conn)
 		if other == c {
 			return nil
 		}
-		if other.active == 0 && (other.memory > 0 || !holding) {
+		if suits(other) {
 			return other
 		}
 	}
@@ -151,7 +166,7 @@
 	c.place = p.served.PushBack(c)
 	var victim *Conn
 	if float64(p.served.Len()) > max(1, float64(p.limits.Connections)*servedShare) {
-		victim = before(&p.served, c, false)
+		victim = before(&p.served, c, idle)
 	}
 	if victim != nil {
 		victim.remove()
@@ -162,6 +177,14 @@
 	}
 }
 
+// SetStalled records whether the client does not take a response. Such a connection may
+// be closed for others during its request.
+func (c *Conn) SetStalled(stalled bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.stalled = stalled
+}
+
 // Take takes memory for a part of a request. If there is too little, it closes
 // connections that have taken some and come earlier in the order of Add, or that have
 // completed a request. It reports false if there is no such connection; this one then
@@ -190,9 +213,9 @@
 		return true, nil
 	}
 	for p.memory+bytes > p.limits.Memory {
-		victim := before(&p.fresh, c, true)
+		victim := before(&p.fresh, c, holding)
 		if victim == nil {
-			victim = before(&p.served, c, true)
+			victim = before(&p.served, c, holding)
 		}
 		if victim == nil {
 			return false, victims
--- a/pkg/connlimit/connlimit_test.go
+++ b/pkg/connlimit/connlimit_test.go
@@ -47,6 +47,23 @@
 	assert.Assert(t, l.add("refused") == nil, "all others have a request in progress")
 }
 
+// TestStalledResponses guards against clients that do not take their responses and keep
+// others from a listener.
+func TestStalledResponses(t *testing.T) {
+	l := newListener(2, 100)
+	stalled, running := l.add("stalled"), l.add("running")
+	stalled.Begin()
+	running.Begin()
+	assert.Assert(t, l.add("refused") == nil)
+	stalled.SetStalled(true)
+	running.SetStalled(true)
+	running.SetStalled(false)
+	l.add("new")
+	assert.DeepEqual(t, l.closed, []string{"stalled"})
+	stalled.End()
+	assert.Equal(t, l.Usage(), connlimit.Usage{Fresh: 2}, "a closed connection does not return")
+}
+
 // TestServedShare guards against clients with many idle connections that leave no room
 // for the first request of others.
 func TestServedShare(t *testing.T) {
--- a/pkg/node/guard.go
+++ b/pkg/node/guard.go
@@ -21,6 +21,10 @@
 	// hopHeaderBytes is the largest size of the fields that daemons add to the header
 	// of a request, together with what a server reads ahead of the body.
 	hopHeaderBytes = 16 << 10
+	// peerHeaderBytes is the smallest bound on the header of a request between daemons.
+	// The caller side may already have a configuration with a larger maximum; the memory
+	// of the listener bounds such headers as well.
+	peerHeaderBytes = 128 << 10
 	// controlBytes is the maximum size of a request for the announcements, readiness
 	// and metrics listeners. The largest are heartbeats, with a body of up to 64 KB.
 	controlBytes = 96 << 10
@@ -78,7 +82,7 @@
 		return listener
 	case "daemons":
 		options.Marked = true
-		options.RequestBytes = func() int64 { return int64(n.callerLimits().HeaderBytes + hopHeaderBytes) }
+		options.RequestBytes = func() int64 { return int64(max(n.callerLimits().HeaderBytes, peerHeaderBytes) + hopHeaderBytes) }
 	case "fleet":
 		options.KeepsBuffers = true
 		options.RequestBytes = func() int64 { return link.MaxMessageBytes }
--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -42,7 +42,7 @@
 
 func newCallerConn(s *CallerServer, conn net.Conn) *callerConn {
 	c := &callerConn{server: s, conn: conn, limit: newHeadLimit(conn)}
-	c.writer = bufio.NewWriterSize(stallWriter{conn, s.Stall}, connBuffer)
+	c.writer = bufio.NewWriterSize(stallWriter{c}, connBuffer)
 	c.limit.onRead = c.takeRead
 	c.reader = bufio.NewReaderSize(c.limit, connBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -282,7 +282,7 @@
 	stopped := c.stopped
 	c.mu.Unlock()
 	if !stopped {
-		_, _ = fmt.Fprintf(stallWriter{c.conn, c.server.Stall}, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), fields)
+		_, _ = fmt.Fprintf(stallWriter{c}, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), fields)
 	}
 }
 
--- a/pkg/proxy/callerexchange.go
+++ b/pkg/proxy/callerexchange.go
@@ -230,7 +230,7 @@
 	}
 	if b.sendContinue {
 		b.sendContinue = false
-		if _, err := io.WriteString(stallWriter{b.conn.conn, b.conn.server.Stall}, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(stallWriter{b.conn}, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
--- a/pkg/proxy/callerlimits_test.go
+++ b/pkg/proxy/callerlimits_test.go
@@ -129,6 +129,30 @@
 	}
 }
 
+// TestStalledCallerMakesRoom guards against callers that read no response and keep others
+// from a listener until their writes time out.
+func TestStalledCallerMakesRoom(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.URL.Path == "/endless" {
+			if _, err := io.WriteString(w, kilobyte); err != nil {
+				return
+			}
+		}
+	})
+	s := startLimitedServer(t, handler, func(o *proxy.CallerServerOptions) {
+		o.Pool, o.Stall = connlimit.NewPool(connlimit.Limits{Connections: 1, Memory: 1 << 20}), time.Hour
+	})
+	s.dial(t).sendGets("/endless")
+	eventually(t, "another caller gets a response", func() bool {
+		time.Sleep(20 * time.Millisecond)
+		c := s.dial(t)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, _, err := c.receive()
+		return err == nil && response.StatusCode == http.StatusOK
+	})
+}
+
 // TestBodyThatStops guards against a request that waits for the rest of its body beyond
 // its timeout.
 func TestBodyThatStops(t *testing.T) {
--- a/pkg/proxy/callerroom.go
+++ b/pkg/proxy/callerroom.go
@@ -2,10 +2,10 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
+	"nutmegstand.example/nutmegstand/pkg/connguard"
 	"nutmegstand.example/nutmegstand/pkg/connlimit"
 )
 
@@ -94,16 +94,10 @@
 	}
 }
 
-// stallWriter writes to a caller, which must take each part within the time stall.
-type stallWriter struct {
-	net.Conn
-	stall time.Duration
-}
+// stallWriter writes to a caller, which must take each part in time.
+type stallWriter struct{ *callerConn }
 
 // Write implements io.Writer.
 func (w stallWriter) Write(p []byte) (int, error) {
-	if w.stall > 0 {
-		_ = w.Conn.SetWriteDeadline(time.Now().Add(w.stall)) // fails on a closed connection only, as the write does
-	}
-	return w.Conn.Write(p)
+	return connguard.Write(w.conn, w.slot, p, w.server.Stall)
 }
