Close connections between daemons whose bodies stop

Seen in a test of the daemons listener: a body that stops keeps its connection after the deadline of the call, and after a body that was late the later bytes are taken for the next request.

Cause: net/http discards the rest of a body after the handler, and clears the read deadline before it does. After a body that could not be read the handler returned without closing the connection.

Change: the connection is closed if the start of the body cannot be read, and the rest of a body must arrive within 1 s after the handler.

go test -race of pkg/proxy, pkg/node, pkg/connguard and pkg/link passes, and so does go test ./test/platform/hostile (peaks 31, 29, 28, 54, 54 and 52 MB).

--- a/pkg/connguard/request.go
+++ b/pkg/connguard/request.go
@@ -9,6 +9,10 @@
 	"nutmegstand.example/nutmegstand/pkg/connlimit"
 )
 
+// discardTime is the time within which the rest of a body must arrive after the handler
+// of a Marked connection. The server reads it without a deadline.
+const discardTime = time.Second
+
 // LimitError reports that a connection was closed because of a limit.
 type LimitError struct{ Reason connlimit.Reason }
 
@@ -35,7 +39,7 @@
 			return 0, &LimitError{Reason: reason}
 		}
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.expired() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.listener.Marked && c.expired() {
 		c.closeFor(connlimit.Time)
 	}
 	return n, err
@@ -49,7 +53,7 @@
 	if c.unbounded {
 		return ""
 	}
-	if c.received == 0 {
+	if c.received == 0 && !c.listener.Marked {
 		c.setDeadline(c.listener.RequestTime)
 	}
 	c.received += n
@@ -75,9 +79,6 @@
 
 // setDeadline sets the time after which reads fail. The caller holds mu.
 func (c *Conn) setDeadline(after time.Duration) {
-	if c.listener.Marked {
-		return
-	}
 	c.deadline = time.Now().Add(after)
 	c.applyDeadline()
 }
@@ -94,9 +95,6 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	if c.listener.Marked {
-		return c.Conn.SetReadDeadline(t)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serverDeadline = t
@@ -132,13 +130,15 @@
 // EndRequest marks the end of the handler of a request.
 func (c *Conn) EndRequest() {
 	c.slot.End()
-	if c.listener.KeepsBuffers {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.slot.Release(c.taken)
-	c.taken = 0
+	if c.listener.Marked {
+		c.setDeadline(discardTime)
+	}
+	if !c.listener.KeepsBuffers {
+		c.slot.Release(c.taken)
+		c.taken = 0
+	}
 }
 
 // AwaitRequest marks the start of the wait for the next request.
@@ -146,5 +146,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.unbounded = 0, false
-	c.setDeadline(c.listener.IdleTime)
+	if !c.listener.Marked {
+		c.setDeadline(c.listener.IdleTime)
+		return
+	}
+	c.deadline = time.Time{}
+	c.applyDeadline()
 }
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -246,7 +246,8 @@
 		// A body that stops would keep the connection after the end of the call.
 		_ = http.NewResponseController(w).SetReadDeadline(call.Deadline.Add(bodyGrace))
 		if err := call.Body.Prefetch(); err != nil {
-			return // the caller disconnected while sending the request
+			// The caller disconnected, or the body is late: what follows is no request.
+			panic(http.ErrAbortHandler)
 		}
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline.Add(deadlineGrace))
