--- a/pkg/node/limits.go
+++ b/pkg/node/limits.go
@@ -1,131 +1,126 @@
 package node
 
-import (
-	"context"
-	"time"
+import "time"
 
-	"nutmegstand.example/nutmegstand/pkg/fleet"
-	"nutmegstand.example/nutmegstand/pkg/pb"
-	"nutmegstand.example/nutmegstand/pkg/proxy"
-	"nutmegstand.example/nutmegstand/pkg/quota"
+const (
+	// minHeadMemory is the smallest head memory of a listener in bytes. It holds the
+	// heads of 64 connections at the usual limit of 16 KB.
+	minHeadMemory = 1 << 20
+	// defaultMemoryLimit replaces memoryLimitBytes in the defaults where that is 0. It
+	// is the memory of the smallest machines.
+	defaultMemoryLimit = 184_000_000
+	// largeMemoryShare, daemonMemoryShare and smallMemoryShare are the divisors of memoryLimitBytes that
+	// give the default head memory of the listeners for callers and the fleet, of the
+	// one for daemons, and of those for control messages. All of them together take
+	// less than half of the memory. responseMemoryShare is that of buffered responses.
+	largeMemoryShare    = 8
+	daemonMemoryShare   = 16
+	smallMemoryShare    = 64
+	responseMemoryShare = 16
+	// runtimeMemoryShare is the part of memoryLimitBytes that is the soft limit of the
+	// Go runtime. The runtime does not count the pages of the program itself, some 15
+	// MB, and exceeds its limit for a moment when memory is needed fast.
+	runtimeMemoryShare = 0.85
+	// maxConnections is the upper end of the allowed range of connections. The
+	// smallest machines have 4,100 file descriptors.
+	maxConnections = 65536
+	// defaultStall is longer than the idle timeouts that operators configure.
+	defaultStall = 30 * time.Second
 )
 
+// Default connections of the listeners. Together with the connections that a daemon
+// opens itself they stay below the 4,100 file descriptors of the smallest machines.
 const (
-	// observeMembersInterval is the interval at which the members are read for the
-	// limits of workspaces.
-	observeMembersInterval = 250 * time.Millisecond
-	// maxLimitWindow is the longest window that package quota can bound.
-	maxLimitWindow = time.Minute
+	callerConnections  = 1536
+	daemonConnections  = 768
+	fleetConnections   = 512
+	controlConnections = 64
 )
 
-// WorkspaceLimits bound the requests of a workspace that run within a window: at most
-// (rate x window + burst) x (1 + overrun) + slack.
-type WorkspaceLimits struct {
-	Window  Milliseconds `json:"windowMS"`
-	Overrun float64      `json:"overrun"`
-	Slack   float64      `json:"slack"` // requests
+// ListenerLimits bound what the clients of one listener can use. 0 stands for the
+// default.
+type ListenerLimits struct {
+	Connections     int   `json:"connections,omitempty"`
+	HeadMemoryBytes int64 `json:"headMemoryBytes,omitempty"` // heads, and requests that were read ahead
 }
 
-// check reports the values that are not allowed.
-func (l *WorkspaceLimits) check(add func(path string, value any, allowed string)) {
-	if l == nil {
-		return
-	}
-	if l.Window.Duration() < time.Second || l.Window.Duration() > maxLimitWindow {
-		add("workspaceLimits.windowMS", l.Window, "1000 to 60000")
-	}
-	if l.Overrun < 0 {
-		add("workspaceLimits.overrun", l.Overrun, "0 or more")
-	}
-	if l.Slack < 0 {
-		add("workspaceLimits.slack", l.Slack, "0 or more requests")
-	}
+// Limits bound what clients can use. No client inside the limits of the configuration
+// in force reaches the defaults.
+type Limits struct {
+	Callers       ListenerLimits `json:"callers,omitzero"`
+	Daemons       ListenerLimits `json:"daemons,omitzero"`
+	Fleet         ListenerLimits `json:"fleet,omitzero"`
+	Announcements ListenerLimits `json:"announcements,omitzero"`
+	Readiness     ListenerLimits `json:"readiness,omitzero"`
+	Metrics       ListenerLimits `json:"metrics,omitzero"`
+	// Stall is the time within which a client must take a part of a response.
+	Stall Milliseconds `json:"stallMS,omitempty"`
 }
 
-// workspaceLimit returns the limit of a workspace. It reports false if it has none.
-func (n *Node) workspaceLimit(workspace string) (quota.Limit, bool) {
-	w := n.config.Load().WorkspaceByName(workspace)
-	if w == nil || w.Rate <= 0 {
-		return quota.Limit{}, false
+// listeners returns the limits by the name of the listener.
+func (l *Limits) listeners() map[string]ListenerLimits {
+	return map[string]ListenerLimits{
+		"callers": l.Callers, "daemons": l.Daemons, "fleet": l.Fleet,
+		"announcements": l.Announcements, "readiness": l.Readiness, "metrics": l.Metrics,
 	}
-	return quota.Limit{Rate: w.Rate, Burst: w.Burst}, true
 }
 
-// buildLimiter builds the limiter if the settings bound the workspaces.
-func (n *Node) buildLimiter() error {
-	l := n.settings.WorkspaceLimits
-	if l == nil {
-		return nil
-	}
-	metrics, err := quota.NewMetrics(n.metrics.Meter)
-	if err != nil {
-		return err
+// check reports the values outside their allowed range.
+func (l *Limits) check(add func(path string, value any, allowed string)) {
+	for name, limits := range l.listeners() {
+		if limits.Connections < 0 || limits.Connections > maxConnections {
+			add("limits."+name+".connections", limits.Connections, "0 for the default, or 1 to 65536")
+		}
+		if limits.HeadMemoryBytes != 0 && limits.HeadMemoryBytes < minHeadMemory {
+			add("limits."+name+".headMemoryBytes", limits.HeadMemoryBytes, "0 for the default, or 1048576 or more")
+		}
 	}
-	n.quotaMembers = quota.NewMembers(n.settings.Name, quotaSource{n}, n.startedAt)
-	n.limiter = quota.NewLimiter(quota.Options{
-		Self: n.settings.Name, Clock: n.clock, Members: n.quotaMembers, Limit: n.workspaceLimit,
-		Bounds: quota.Bounds{Window: l.Window.Duration(), Overrun: l.Overrun, Slack: l.Slack},
-		Send:   n.fleet.SendPermitRequests, Logger: n.logger, Metrics: metrics,
-		// The start time in milliseconds is above the sequence numbers of earlier
-		// processes as long as they sent fewer than 1,000 requests a second.
-		FirstSequence: n.table.Local().Incarnation,
-	})
-	n.fleet.HandlePermitRequests = func(from string, requests []*pb.PermitRequest) []*pb.PermitGrant {
-		return n.limiter.HandleRequests(from, requests)
+	if l.Stall < 0 {
+		add("limits.stallMS", l.Stall, "0 for the default, or more than 0")
 	}
-	n.fleet.HandlePermitGrants = func(from string, grants []*pb.PermitGrant) { n.limiter.HandleGrants(from, grants) }
-	return nil
 }
 
-// ingressLimiter returns the limiter of the caller side, nil if there is none.
-func (n *Node) ingressLimiter() proxy.Limiter {
-	if n.limiter == nil {
-		return nil
+// listenerLimits returns the limits of a listener with the defaults filled in.
+func (s *Settings) listenerLimits(name string) ListenerLimits {
+	limits := s.Limits.listeners()[name]
+	connections, share := controlConnections, int64(smallMemoryShare)
+	switch name {
+	case "callers":
+		connections, share = callerConnections, largeMemoryShare
+	case "daemons":
+		connections, share = daemonConnections, daemonMemoryShare
+	case "fleet":
+		connections, share = fleetConnections, largeMemoryShare
 	}
-	return n.limiter
+	if limits.Connections == 0 {
+		limits.Connections = connections
+	}
+	if limits.HeadMemoryBytes == 0 {
+		limits.HeadMemoryBytes = max(s.memory()/share, minHeadMemory)
+	}
+	return limits
 }
 
-// observeMembers passes the members to the limiter until ctx ends.
-func (n *Node) observeMembers(ctx context.Context) {
-	ticker := time.NewTicker(observeMembersInterval)
-	defer ticker.Stop()
-	for {
-		n.quotaMembers.Observe(n.clock.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// memory returns the memory limit, or that of the smallest machines if there is none.
+func (s *Settings) memory() int64 {
+	if s.MemoryLimitBytes == 0 {
+		return defaultMemoryLimit
 	}
+	return s.MemoryLimitBytes
 }
 
-// quotaSource reads the members from the table.
-type quotaSource struct{ node *Node }
-
-var _ quota.Source = quotaSource{}
-
-// Version implements quota.Source.
-func (s quotaSource) Version() uint64 { return s.node.table.Version() }
-
-// Members implements quota.Source.
-func (s quotaSource) Members() []quota.Member {
-	now := s.node.clock.Now()
-	var members []quota.Member
-	s.node.table.Each(func(m *fleet.Member) {
-		members = append(members, quota.Member{
-			Candidate: fleet.Candidate{Name: m.Name, LinkMbps: m.State.LinkMbps, Cores: m.State.Cores},
-			Live:      m.Live(now), Retired: m.State.Stopping || m.State.Leaving, Leaving: m.State.Leaving,
-			HeartbeatAge: now.Sub(m.LastHeartbeat),
-			Older:        m.Incarnation+uint64(olderPeerAge.Milliseconds()) < s.node.table.Local().Incarnation,
-		})
-	})
-	return members
+// RuntimeMemoryLimit returns the soft limit of the Go runtime in bytes, 0 for none.
+func (s *Settings) RuntimeMemoryLimit() int64 {
+	return int64(float64(s.MemoryLimitBytes) * runtimeMemoryShare)
 }
 
-// Expected implements quota.Source. While the store does not answer, a daemon relies
-// on peers that have been there for longer.
-func (s quotaSource) Expected() (int, bool) {
-	n := s.node
-	known := n.registered.Load() || mostAreOlder(n.table.Live(), n.table.Local().Incarnation)
-	return int(n.listedDaemons.Load()), known
+// responseMemory returns the memory for buffered responses in bytes.
+func (s *Settings) responseMemory() int64 { return max(s.memory()/responseMemoryShare, minHeadMemory) }
+
+// stall returns the time within which a client must take a part of a response.
+func (s *Settings) stall() time.Duration {
+	if s.Limits.Stall == 0 {
+		return defaultStall
+	}
+	return s.Limits.Stall.Duration()
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -67,8 +67,12 @@
 	GCPercent        int          `json:"gcPercent"` // heap growth between collections in percent (GOGC), 0 for the default of the Go runtime
 	LinkMbps         float64      `json:"linkMbps"`  // link of the machine, 0 if unknown
 	Cores            float64      `json:"cores"`     // CPU limit of the daemon in cores, 0 if unknown
+	// Bounds has the bounds of the deployment in the words of its platform, which the
+	// adapter of the platform applies to the other fields.
+	Bounds json.RawMessage `json:"bounds,omitempty"`
 	// WorkspaceLimits is nil where the limits of workspaces are not held.
 	WorkspaceLimits *WorkspaceLimits `json:"workspaceLimits,omitempty"`
+	Limits          Limits           `json:"limits,omitzero"`
 }
 
 // SettingsError reports a settings file that cannot be used.
@@ -94,13 +98,14 @@
 	if err := decoder.Decode(s); err != nil {
 		return nil, &SettingsError{File: file, Cause: err}
 	}
-	if err := s.check(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, &SettingsError{File: file, Cause: err}
 	}
 	return s, nil
 }
 
-func (s *Settings) check() error {
+// Check returns an error that names every value that is not allowed.
+func (s *Settings) Check() error {
 	var problems []error
 	add := func(path string, value any, allowed string) {
 		problems = append(problems, fmt.Errorf("$.%s is %q, allowed: %s", path, fmt.Sprint(value), allowed))
@@ -148,5 +153,6 @@
 		add("memoryLimitBytes", s.MemoryLimitBytes, "0 for no limit, or a positive number of bytes")
 	}
 	s.WorkspaceLimits.check(add)
+	s.Limits.check(add)
 	return errors.Join(problems...)
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -62,6 +62,7 @@
 	Suspects             *Suspects
 	Uplink               *Uplink
 	Evacuation           Evacuation // of the failure domain, nil if the deployment has none
+	Buffers              *Buffers   // of responses, nil for no bound
 	Clock                clock.Clock
 	DrainPeriod          time.Duration // from the acknowledgement that the target leaves until its last request
 	Logger               *zap.Logger
--- a/pkg/proxy/headlimit.go
+++ b/pkg/proxy/headlimit.go
@@ -14,7 +14,10 @@
 type headLimit struct {
 	io.Reader
 	left   int64
-	record *bytes.Buffer // receives a copy of the bytes of the header, nil if not needed
+	record *bytes.Buffer         // receives a copy of the bytes of the header, nil if not needed
+	active bool                  // a header is being read
+	onRead func(bytes int) error // called after each read of a header, may be nil
+	cause  error                 // why the header cannot be read further: its size, or an error of onRead
 }
 
 func newHeadLimit(r io.Reader) *headLimit { return &headLimit{Reader: r, left: math.MaxInt64} }
@@ -22,17 +25,20 @@
 var errHeaderTooLarge = errors.New("proxy: message header too large")
 
 // start begins a header of at most the given size.
-func (l *headLimit) start(bytes int) { l.left = int64(bytes) }
+func (l *headLimit) start(bytes int) { l.left, l.active, l.cause = int64(bytes), true, nil }
 
 // stop ends the header. What follows is not bounded.
-func (l *headLimit) stop() { l.left, l.record = math.MaxInt64, nil }
+func (l *headLimit) stop() { l.left, l.active, l.record = math.MaxInt64, false, nil }
 
 func (l *headLimit) exceeded() bool { return l.left <= 0 }
 
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
-	if l.exceeded() {
-		return 0, errHeaderTooLarge
+	if l.cause == nil && l.exceeded() {
+		l.cause = errHeaderTooLarge
+	}
+	if l.active && l.cause != nil {
+		return 0, l.cause
 	}
 	if int64(len(p)) > l.left {
 		p = p[:l.left]
@@ -42,6 +48,11 @@
 	if l.record != nil {
 		_, _ = l.record.Write(p[:n]) // a buffer does not fail
 	}
+	if l.active && l.onRead != nil && n > 0 {
+		if l.cause = l.onRead(n); l.cause != nil {
+			return 0, l.cause
+		}
+	}
 	return n, err
 }
 
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -68,6 +68,7 @@
 	Gate      *Gate
 	Peers     *Peers
 	Limiter   Limiter     // nil if workspaces have no limits
+	Buffers   *Buffers    // of responses, nil for no bound
 	Leaving   func() bool // reports whether the daemon is about to stop
 	Refusing  func() bool // reports whether new requests could not complete before the stop
 	Logger    *zap.Logger
@@ -196,9 +197,8 @@
 
 func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, s *requestState) {
 	if s.call.Body != nil {
-		if err := s.call.Body.Prefetch(); err != nil {
-			s.finish("caller_gone", 0)
-			panic(http.ErrAbortHandler)
+		if late := s.prefetch(w); late {
+			return
 		}
 	}
 	i.Budget.RecordRequest(s.call.Service)
@@ -322,7 +322,7 @@
 		result = i.Peers.Do(ctx, e.Address, s.call)
 	}
 	if result.Outcome == Answered {
-		result.bufferBody()
+		result.bufferBody(i.Buffers)
 	}
 	if result.buffered {
 		i.Balancer.RecordSize(s.call.Route, result.Length)
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -112,7 +112,7 @@
 		Load: load, Ran: time.Since(started),
 		InnerFailed: r.StatusCode >= http.StatusInternalServerError && g.innerFailed(call),
 	}
-	result.bufferBody()
+	result.bufferBody(g.Buffers)
 	return result
 }
 
