Read the bounds of a deployment in the adapter

Change: the template passes the table of bounds on as it is; platform/ decodes those that switch features on.

--- a/cmd/nutmegnode/main.go
+++ b/cmd/nutmegnode/main.go
@@ -21,12 +21,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := platform.ApplyBounds(s); err != nil {
+		return nil, err
+	}
 	objects := platform.NewObjects(s.Store)
 	p := node.Platform{
 		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
 	}
 	return &service.Program{
-		MemoryLimit: s.MemoryLimitBytes, GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
+		MemoryLimit: s.RuntimeMemoryLimit(), GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
 		Build: func(l *zap.Logger) (service.Runner, error) { return node.New(s, p, l) },
 	}, nil
 }
