Tell closed idle connections from the end of a target

A target that closes connections after a shorter idle time than it announces counted as cold with each of them, and was held to the cold rate as long as its concurrency varied.

Requests whose targets are all in evacuated domains are refused at once, instead of after a tenth of the latency objective; TestEvacuatedTarget checks it. The directory reads the evacuations once for each build, not for each member.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -61,24 +61,27 @@
 	d.version, d.builtAt = version, now
 	services := make(map[string][]*balance.Endpoint, len(d.services))
 	endpoints := make(map[string]builtEndpoint, len(d.endpoints))
-	config := d.config.Load()
+	config, evacuations := d.config.Load(), d.evacuations.Since()
 	d.table.Each(func(m *fleet.Member) {
 		t := m.State.Target
 		if t == nil {
 			return
 		}
-		available := !t.Leaving && !t.Down && !m.State.Leaving && !d.evacuations.InForce(m.State.Zone) && (m.Self || now.Sub(m.LastHeartbeat) < targetSilentAfter)
+		_, evacuated := evacuations[m.State.Zone]
+		available := !t.Leaving && !t.Down && !m.State.Leaving && !evacuated && (m.Self || now.Sub(m.LastHeartbeat) < targetSilentAfter)
 		e := d.endpoints[m.Name]
 		coldRate := 0.0
-		if service := config.Service(t.Service); service != nil && t.WarmupLeftMS > 0 {
-			coldRate = service.ColdRate
+		if t.WarmupLeftMS > 0 {
+			if service := config.Service(t.Service); service != nil {
+				coldRate = service.ColdRate
+			}
 		}
-		if e.state != m.State || e.Available != available || e.ColdRate != coldRate {
+		if e.state != m.State || e.Available != available || e.Evacuated != evacuated || e.ColdRate != coldRate {
 			e = builtEndpoint{m.State, &balance.Endpoint{
 				Daemon: m.Name, Address: m.State.CallAddress, SameDomain: m.State.Zone == d.zone, Local: m.Self,
 				Target: t.ID, Service: t.Service, Version: t.Version, Slots: t.Slots, LinkMbps: m.State.LinkMbps,
 				WarmAt:   time.Now().Add(time.Duration(t.WarmupLeftMS)*time.Millisecond - now.Sub(m.StateChangedAt)),
-				ColdRate: coldRate, Available: available,
+				ColdRate: coldRate, Available: available, Evacuated: evacuated,
 			}}
 		}
 		endpoints[m.Name] = e
--- a/pkg/proxy/balance/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -83,7 +83,8 @@
 	LinkMbps   float64   // of the target's machine, 0 if unknown
 	WarmAt     time.Time // end of the cold start
 	ColdRate   float64   // requests per second that the target tolerates until WarmAt, 0 for no limit
-	Available  bool      // not leaving, down or silent
+	Available  bool      // not leaving, down, silent or evacuated
+	Evacuated  bool      // in a failure domain that is being evacuated
 }
 
 // targetStats holds the statistics of a caller side about one target.
--- a/pkg/proxy/cold_test.go
+++ b/pkg/proxy/cold_test.go
@@ -167,6 +167,12 @@
 	assert.Equal(t, len(target.Requests()), before)
 	assert.Assert(t, m.targetSides[0].gate.Refusals()[proxy.ReasonEvacuated] > 0)
 
+	m.endpoints[0].Available, m.endpoints[0].Evacuated = false, true
+	started := time.Now()
+	assert.Equal(t, m.get("/look/1").status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(started) < 80*time.Millisecond, "refused after %v, as if a target could become available", time.Since(started))
+	m.endpoints[0].Available, m.endpoints[0].Evacuated = true, false
+
 	target.Handle(proxytest.OK("ok"))
 	evacuation.set(false, m.clock.Now())
 	got, most := m.received(0)
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -289,7 +289,7 @@
 			s.attempted[e.Target] = true
 			return e
 		}
-		if len(s.attempted) > 0 || time.Now().After(waitUntil) {
+		if len(s.attempted) > 0 || time.Now().After(waitUntil) || balance.AllEvacuated(endpoints) {
 			s.addStep("no target")
 			return nil
 		}
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -14,6 +14,9 @@
 	idleShare = 0.7
 	// defaultIdle is used if the peer does not announce an idle timeout.
 	defaultIdle = 4 * time.Second
+	// recentUse is an idle time after which no peer closes a connection unless its process
+	// ends.
+	recentUse = time.Second
 )
 
 // pool holds the idle connections to one address as a stack, so that the most
@@ -21,7 +24,7 @@
 type pool struct {
 	address string
 	closed  bool
-	lost    func() // called when the peer has closed an idle connection before its idle limit, if set
+	lost    func() // called when the process of the peer seems to have ended, if set
 
 	mu   sync.Mutex
 	idle []*conn
@@ -33,6 +36,7 @@
 // get returns an idle connection that was last used at most maxIdle ago, or a
 // new connection.
 func (p *pool) get(ctx context.Context, maxIdle time.Duration) (*conn, error) {
+	closed := false // by the peer, within the idle limit
 	for {
 		c := p.pop(maxIdle)
 		if c == nil {
@@ -41,7 +45,13 @@
 		if c.reusable() {
 			return c, nil
 		}
+		closed = true
 		p.discard(c)
+		if c.recentlyUsed() {
+			p.reportLost()
+		}
+	}
+	if closed && p.unused() {
 		p.reportLost()
 	}
 	p.count(1) // before the dial, so that the pool is not removed meanwhile
@@ -53,8 +63,20 @@
 	return c, nil
 }
 
-// reportLost reports that the peer has closed an idle connection early, as it does if
-// its process has ended. The caller does not hold mu.
+// recentlyUsed reports whether a connection is idle for less than recentUse.
+func (c *conn) recentlyUsed() bool { return time.Since(c.idleSince) < recentUse }
+
+// unused reports whether no connection is in use. Those in use fail if the process of the
+// peer ends.
+func (p *pool) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open <= len(p.idle)
+}
+
+// reportLost reports that the process of the peer seems to have ended: it has closed a
+// connection that was just in use, or all of them. Peers may also close single idle
+// connections earlier than expected. The caller does not hold mu.
 func (p *pool) reportLost() {
 	if p.lost != nil {
 		p.lost()
@@ -115,22 +137,23 @@
 	}
 }
 
-// removeUnusable reports whether one of the removed connections was closed by the peer
-// before its idle limit.
+// removeUnusable reports whether the process of the peer seems to have ended.
 func (p *pool) removeUnusable() (lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	closed := false // by the peer, within the idle limit
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
 		expired := time.Since(c.idleSince) > c.idleLimit()
 		if !expired && c.reusable() {
 			return false
 		}
-		lost = lost || !expired
+		closed = closed || !expired
+		lost = lost || !expired && c.recentlyUsed()
 		_ = c.Close()
 		p.open--
 		return true
 	})
-	return lost
+	return lost || closed && p.open == 0
 }
 
 func (p *pool) close() {
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -50,13 +50,6 @@
 	warmAt   time.Time // end of the cold phase that the heartbeats report
 }
 
-// setWarmup makes the heartbeats report a cold phase that ends after the given time.
-func (m *machine) setWarmup(left time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.warmAt = time.Now().Add(left)
-}
-
 // deployment is a store and a set of machines.
 type deployment struct {
 	t        *testing.T
--- a/test/platform/evacuation_test.go
+++ b/test/platform/evacuation_test.go
@@ -117,6 +117,13 @@
 	}
 	time.Sleep(3 * time.Second) // after which a daemon counts as connected
 	d.serveWithout(evacuated)
+	for zone := range 2 {
+		d.store.Put("evacuations", fmt.Sprintf("zone-%d", zone), map[string]any{})
+	}
+	eventually(t, "refusals without any target left", evacuationTimeout, func() bool {
+		return d.machines[0].get("/look/1") == http.StatusServiceUnavailable
+	})
+	d.store.Delete("evacuations", "zone-0")
 	d.store.Delete("evacuations", evacuated)
 	d.awaitUse(evacuated)
 }
@@ -157,6 +164,13 @@
 	}
 }
 
+// setWarmup makes the heartbeats report a cold phase that ends after the given time.
+func (m *machine) setWarmup(left time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.warmAt = time.Now().Add(left)
+}
+
 // arrivals records when targets receive requests.
 type arrivals struct {
 	mu sync.Mutex
