Read the local start time before the members

Cause: the source of members asked the table for the local member while it held the table's lock, so the daemon did not register and had no configuration. Evidence: TestQuotaMembers timed out before ("test timed out after 20s"). Change: the start time is read first. Result: the test passes.

--- a/pkg/node/workspacelimits.go
+++ b/pkg/node/workspacelimits.go
@@ -110,13 +110,14 @@
 // Members implements quota.Source.
 func (s quotaSource) Members() []quota.Member {
 	now := s.node.clock.Now()
+	started := s.node.table.Local().Incarnation // Each holds the lock of the table
 	var members []quota.Member
 	s.node.table.Each(func(m *fleet.Member) {
 		members = append(members, quota.Member{
 			Candidate: fleet.Candidate{Name: m.Name, LinkMbps: m.State.LinkMbps, Cores: m.State.Cores},
 			Live:      m.Live(now), Retired: m.State.Stopping || m.State.Leaving, Leaving: m.State.Leaving,
 			HeartbeatAge: now.Sub(m.LastHeartbeat),
-			Older:        m.Incarnation+uint64(olderPeerAge.Milliseconds()) < s.node.table.Local().Incarnation,
+			Older:        m.Incarnation+uint64(olderPeerAge.Milliseconds()) < started,
 		})
 	})
 	return members
--- a/pkg/node/workspacelimits_test.go
+++ b/pkg/node/workspacelimits_test.go
@@ -6,7 +6,12 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/fleet"
+	"nutmegstand.example/nutmegstand/pkg/pb"
 )
 
 const validSettings = `{"name":"vm-1","domain":"zone-a","service":"desk","targetAddress":"10.0.0.5:1","listen":{"callers":"10.0.0.5:2",
@@ -43,3 +48,26 @@
 		assert.ErrorContains(t, err, problem)
 	}
 }
+
+// TestQuotaMembers guards against a source of members that waits for its own lock: no
+// daemon of a deployment with limits served a request. It also guards against a peer that
+// counts as one of the same restart although it has run for longer.
+func TestQuotaMembers(t *testing.T) {
+	const started = 1_700_000_000_000
+	c := &clock.Manual{}
+	n := &Node{clock: c, table: fleet.NewTable("self", started, fleet.State{}, c)}
+	for name, incarnation := range map[string]uint64{"older": started - 10_000, "restarted": started - 1000} {
+		peer := fleet.NewTable(name, incarnation, fleet.State{}, c)
+		f := fleet.New(fleet.Options{Table: n.table, Config: &n.config, Logger: zap.NewNop()})
+		other := fleet.New(fleet.Options{Table: peer, Config: &n.config, Logger: zap.NewNop()})
+		reply, err := other.Sync(t.Context(), &pb.SyncRequest{To: "unknown"})
+		assert.NilError(t, err)
+		_, err = f.Sync(t.Context(), &pb.SyncRequest{From: name, States: reply.GetStates()})
+		assert.NilError(t, err)
+	}
+	older := make(map[string]bool)
+	for _, m := range (quotaSource{n}).Members() {
+		older[m.Name] = m.Older
+	}
+	assert.DeepEqual(t, older, map[string]bool{"self": false, "older": true, "restarted": false})
+}
