Pause another domain after it refused a request

Cause: published loads are up to a second old; a refusal said nothing about the other targets of its domain.

--- a/pkg/proxy/balance/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -109,12 +109,14 @@
 	stats      map[string]*targetStats
 	runTimes   map[string]time.Duration // average run time by route, normalized by the slowness of the targets
 	responseKB map[string]float64       // average response size in KB by route
+	fullUntil  map[domainKey]time.Time  // end of the pauses of other domains without room
 }
 
 // New returns a balancer without statistics.
 func New(logger *zap.Logger) *Balancer {
 	return &Balancer{
 		logger: logger, stats: make(map[string]*targetStats), runTimes: make(map[string]time.Duration), responseKB: make(map[string]float64),
+		fullUntil: make(map[domainKey]time.Time),
 	}
 }
 
@@ -305,6 +307,9 @@
 	if result.Answered && !result.Failed {
 		b.recordRun(s, request.Route, result.Ran)
 	}
+	if result.QueueFull {
+		b.recordRefusal(e, now)
+	}
 	if result.Neutral {
 		return
 	}
@@ -365,6 +370,11 @@
 			delete(b.stats, target)
 		}
 	}
+	for key, until := range b.fullUntil {
+		if time.Now().After(until) {
+			delete(b.fullUntil, key)
+		}
+	}
 }
 
 // RateLimit returns the rate limit that was last reported for a target, 0 if none was.
--- a/pkg/proxy/balance/domain.go
+++ b/pkg/proxy/balance/domain.go
@@ -22,6 +22,10 @@
 	// slots, below which requests may go there. Above it a request would mostly find
 	// the slots in use, since the known loads are up to a second old.
 	roomLoad = 0.7
+	// fullDomainPause is the time for which no request goes to another domain after one
+	// of its targets refused a request for its queue. Published loads are up to a second
+	// old: 88% of the requests that followed them were refused as well.
+	fullDomainPause = 500 * time.Millisecond
 	// minTargetsInCommon is the number of targets from which the failures of most of
 	// them are taken to have a common cause.
 	minTargetsInCommon = 3
@@ -35,12 +39,24 @@
 	load     float64 // running and waiting requests relative to the slots
 }
 
+// domainKey identifies the targets of a service in one failure domain.
+type domainKey struct{ service, domain string }
+
+// recordRefusal records that a target of another domain refused a request for its queue.
+func (b *Balancer) recordRefusal(e *Endpoint, now time.Time) {
+	if !e.SameDomain {
+		b.fullUntil[domainKey{e.Service, e.Domain}] = now.Add(fullDomainPause)
+	}
+}
+
 // domainOption is the best endpoint of one failure domain.
 type domainOption struct {
+	service string
 	domain  string
 	best    candidate // without an endpoint if all have been attempted or are paused
 	loads   float64   // sum over the targets in use
 	targets int       // in use: available and not paused
+	full    bool      // a target refused a request lately
 }
 
 // add adds a target in use. It is not a candidate if it has been attempted.
@@ -53,7 +69,7 @@
 }
 
 // hasRoom reports whether a target of the domain is likely to have a free slot.
-func (d *domainOption) hasRoom() bool { return d.loads < roomLoad*float64(d.targets) }
+func (d *domainOption) hasRoom() bool { return !d.full && d.loads < roomLoad*float64(d.targets) }
 
 // options are the endpoints among which a request may choose.
 type options struct {
@@ -73,7 +89,7 @@
 			return &o.far[i]
 		}
 	}
-	o.far = append(o.far, domainOption{domain: e.Domain})
+	o.far = append(o.far, domainOption{service: e.Service, domain: e.Domain})
 	return &o.far[len(o.far)-1]
 }
 
@@ -95,6 +111,10 @@
 		c := b.evaluate(e, s, request, now)
 		o.domain(e).add(&c, attempted[e.Target])
 	}
+	for i := range o.far {
+		d := &o.far[i]
+		d.full = now.Before(b.fullUntil[domainKey{d.service, d.domain}])
+	}
 	return o
 }
 
--- a/pkg/proxy/balance/domain_test.go
+++ b/pkg/proxy/balance/domain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -101,3 +102,25 @@
 	}
 	assert.Assert(t, pausedOnly > 0, "paused targets are used again")
 }
+
+// TestFullDomainIsPaused guards against requests that cross domains one after the other
+// although the first was refused: the published loads tell of room that is gone.
+func TestFullDomainIsPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := twoDomains(3, 0.3)
+		b := New(zap.NewNop())
+		request := &attempt.Request{Route: "r", Objective: 400 * time.Millisecond}
+		cross := func() bool {
+			e := b.Choose(request, all, nil)
+			b.Done(e, request, &Result{Refused: true, Neutral: true, QueueFull: !e.SameDomain})
+			return !e.SameDomain
+		}
+		assert.Assert(t, cross())
+		assert.Assert(t, !cross(), "right after a refusal")
+		time.Sleep(fullDomainPause + time.Millisecond)
+		for _, e := range all[:4] {
+			e.PublishLoad(3, time.Now())
+		}
+		assert.Assert(t, cross(), "later")
+	})
+}
