Keep connections between daemons open after a call

Cause: a peer closes the stream of a call after it has received the response. Those bytes counted as the start of a request, which has 10 s. The number and the memory of its connections stay bounded.

--- a/pkg/node/guard.go
+++ b/pkg/node/guard.go
@@ -85,6 +85,9 @@
 		options.RequestBytes = func() int64 { return int64(max(n.callerLimits().HeaderBytes, peerHeaderBytes) + hopHeaderBytes) }
 	case "fleet":
 		options.KeepsBuffers = true
+		// A peer closes the stream of a call after it has received the response, so bytes
+		// may precede a long wait for the next call.
+		options.RequestTime = idleTimeout
 		options.RequestBytes = func() int64 { return link.MaxMessageBytes }
 	}
 	return connguard.New(listener, options)
--- a/pkg/node/limits_test.go
+++ b/pkg/node/limits_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/connguard"
+	"nutmegstand.example/nutmegstand/pkg/connlimit"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -53,3 +56,12 @@
 	assert.Assert(t, limits.HeaderBytes >= configured.HeaderBytes && limits.HeaderBytes < 2*configured.HeaderBytes)
 	assert.Assert(t, limits.HeaderTimeout > configured.HeaderTimeout && limits.IdleTimeout > configured.IdleTimeout)
 }
+
+// TestIdlePeersStayConnected guards against connections between daemons that are closed
+// some seconds after a call: 64 connections of each daemon ended 10 s after the start of
+// a deployment, since the bytes that close a stream counted as the start of a request.
+func TestIdlePeersStayConnected(t *testing.T) {
+	n := &Node{settings: &Settings{}, logger: zap.NewNop(), pools: make(map[string]*connlimit.Pool)}
+	guarded := n.guard("fleet", nil).(*connguard.Listener)
+	assert.Assert(t, guarded.RequestTime >= guarded.IdleTime)
+}
