Explain the choice of a target without making it

What callers saw: nothing; operators could not ask which target a request would get, since Choose records the request and moves a cold target's turn.

Change: Balancer.decide is the decision without the recording, and says its reason. Explain runs it on a copy of the targets' statistics and returns each target with the parts of its expected time.

Evidence: the tests compare the explanation with the choice for each reason, the statistics before and after 50 explanations, and the turns of a cold target with and without explanations.

--- a/pkg/proxy/balance/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -109,6 +109,7 @@
 	stats      map[string]*targetStats
 	runTimes   map[string]time.Duration // average run time by route, normalized by the slowness of the targets
 	responseKB map[string]float64       // average response size in KB by route
+	evaluated  *[]candidate             // of all targets in use, nil except during Explain
 }
 
 // New returns a balancer without statistics.
@@ -135,9 +136,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	o := b.collect(request, endpoints, attempted, now)
-	best := b.chooseDomain(&o, request)
-	best = b.preferDue(request, endpoints, attempted, best, now)
+	best, _ := b.decide(request, endpoints, attempted, now)
 	if best == nil {
 		return nil
 	}
@@ -152,6 +151,17 @@
 	return best
 }
 
+// decide returns the endpoint to use, nil if there is none, and the reason. It changes
+// nothing but the entries of stats.
+func (b *Balancer) decide(request *attempt.Request, endpoints []*Endpoint, attempted map[string]bool, now time.Time) (*Endpoint, Reason) {
+	o := b.collect(request, endpoints, attempted, now)
+	best := b.chooseDomain(&o, request)
+	if due := b.preferDue(request, endpoints, attempted, best, now); due != best {
+		return due, ColdShareDue
+	}
+	return best, o.reason
+}
+
 // evaluate returns an endpoint with its expected response time.
 func (b *Balancer) evaluate(e *Endpoint, s *targetStats, request *attempt.Request, now time.Time) candidate {
 	run := float64(b.expectedRun(s, request.Route))
@@ -164,6 +174,7 @@
 	if now.Before(e.WarmAt) {
 		t *= coldStartFactor
 	}
+	slowed := t
 	wait := float64(s.rateTime(freshness))
 	if e.cold(now) && s.load.RateLimit == 0 {
 		wait = float64(s.callsSinceLoad) / e.ColdRate * float64(time.Second)
@@ -180,11 +191,13 @@
 	if full {
 		t += float64(fullPenalty)
 	}
-	t += b.networkTime(e, s, request, freshness)
+	network := b.networkTime(e, s, request, freshness)
+	t += network
 	failures := min(s.failures, maxFailureRate)
 	t = t/(1-failures) + failures*float64(request.Objective)
 	return candidate{
 		endpoint: e, time: t * (1 + costJitter*rand.Float64()), full: full, load: occupied / slots,
+		run: slowed, wait: wait, network: network,
 	}
 }
 
--- a/pkg/proxy/balance/domain.go
+++ b/pkg/proxy/balance/domain.go
@@ -33,6 +33,8 @@
 	time     float64 // in nanoseconds
 	full     bool    // the request would wait too long for a slot
 	load     float64 // running and waiting requests relative to the slots
+
+	run, wait, network float64 // parts of time, in nanoseconds
 }
 
 // domainOption is the best endpoint of one failure domain.
@@ -61,6 +63,7 @@
 	far      []domainOption
 	paused   *Endpoint // whose pause ends first
 	pauseEnd time.Time
+	reason   Reason // of the choice among the domains
 }
 
 // domain returns the option of the failure domain of an endpoint.
@@ -93,6 +96,9 @@
 			continue
 		}
 		c := b.evaluate(e, s, request, now)
+		if b.evaluated != nil {
+			*b.evaluated = append(*b.evaluated, c)
+		}
 		o.domain(e).add(&c, attempted[e.Target])
 	}
 	return o
@@ -124,12 +130,16 @@
 	far := o.bestFar(depends)
 	switch near := &o.near.best; {
 	case near.endpoint == nil && far != nil:
+		o.reason = otherDomainReason(far)
 		return far.endpoint
 	case near.endpoint == nil && depends:
+		o.reason = pausedReason(o.paused)
 		return o.paused
 	case far != nil && b.prefersFar(near, far, request):
+		o.reason = spillReason(near)
 		return far.endpoint
 	default:
+		o.reason = ownDomainReason(near)
 		return near.endpoint
 	}
 }
