Explain a request that is not sent, at a daemon of the platform

What callers saw: nothing; operators could only infer from logs where a request would go and why it would be refused.

Change: proxy.Explainer follows the order of Ingress.ServeHTTP with the same code: the match of the route, the check of access, the route and workspace of the call, the versions, the choice of the target. Where that code also records something, the decision is split from the recording: the age of a request (AgeEstimator.Peek), the versions (Follower.Explain) and the state of a limit (Limiter.Peek). A daemon serves the explanation on /explain of its metrics address, without a token, a key or a digest.

Evidence: a test for each outcome, and tests that permits, budget, ages, statistics, the version in use and the sequence of permit requests stay as they were.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -71,6 +71,7 @@
 	target      *targetTracker
 	entry       *storedEntry
 	callers     *proxy.CallerServer
+	explainer   *proxy.Explainer
 	limiter     *quota.Limiter // nil if the settings have no bounds for workspaces
 	daemons     *server
 
@@ -222,6 +223,7 @@
 		Recorder: n.recorder, Balancer: n.balancer, Gate: n.gate, Peers: n.peers, Limiter: n.ingressLimiter(), Buffers: buffers,
 		Budget: n.budget, Leaving: n.leaving.Load, Refusing: n.refusing.Load, Logger: n.logger, Metrics: instruments,
 	})
+	n.buildExplainer(ingress)
 	n.callers = proxy.NewCallerServer(proxy.CallerServerOptions{
 		Handler: ingress, ReadAhead: ingress.ReadAhead, Leaving: n.leaving.Load, Limits: n.callerLimits,
 		Stall: s.stall(), Pool: n.pools["callers"], Reporter: n.reporter("callers"), Logger: n.logger,
@@ -275,6 +277,7 @@
 		n.startPart("metrics", func() error {
 			return telemetry.ServeMetrics(ctx, listener, n.metrics, map[string]http.HandlerFunc{
 				fleetview.Path: n.serveView, fleetview.WorkspacesPath: n.serveWorkspaces,
+				fleetview.ExplainPath: n.serveExplanation,
 			})
 		})
 	}
--- a/pkg/proxy/admission/age.go
+++ b/pkg/proxy/admission/age.go
@@ -52,6 +52,26 @@
 		p = &patience{since: now}
 		e.routes[route] = p
 	}
+	return p.age(left, now)
+}
+
+// Peek returns what Age would return, and records nothing.
+func (e *AgeEstimator) Peek(route string, left time.Duration, now time.Time) time.Duration {
+	if left <= 0 || left > maxPatience {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.routes[route]
+	if p == nil {
+		return 0
+	}
+	duplicate := *p
+	return duplicate.age(left, now)
+}
+
+// age adds a remaining time and returns the age of its request.
+func (p *patience) age(left time.Duration, now time.Time) time.Duration {
 	if passed := now.Sub(p.since); passed > patienceRetention {
 		p.previous, p.current, p.since = p.current, 0, now
 		if passed > 2*patienceRetention {
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -36,8 +36,9 @@
 }
 
 var (
-	_ proxy.VersionChooser = (*Follower)(nil)
-	_ proxy.VersionPolicy  = (*Follower)(nil)
+	_ proxy.VersionChooser   = (*Follower)(nil)
+	_ proxy.VersionExplainer = (*Follower)(nil)
+	_ proxy.VersionPolicy    = (*Follower)(nil)
 )
 
 // NewFollower returns a follower without plans.
@@ -126,6 +127,31 @@
 	}
 	rolledBack := f.WasRolledBack(service, p.Order)
 	wantNew := p.State == Active && !rolledBack && f.Random() < p.Share
+	return p.choose(endpoints, rolledBack, wantNew)
+}
+
+// Explain implements proxy.VersionExplainer.
+func (f *Follower) Explain(service string, endpoints []*balance.Endpoint) []proxy.VersionOption {
+	p := f.plan(service)
+	if p == nil {
+		return []proxy.VersionOption{{Share: 1, Endpoints: f.withoutPlan(service, endpoints)}}
+	}
+	rolledBack := f.WasRolledBack(service, p.Order)
+	old := p.choose(endpoints, rolledBack, false)
+	if p.State != Active || rolledBack {
+		return []proxy.VersionOption{{Share: 1, Endpoints: old}}
+	}
+	target := p.choose(endpoints, rolledBack, true)
+	if slices.Equal(old, target) {
+		return []proxy.VersionOption{{Share: 1, Endpoints: old}}
+	}
+	options := []proxy.VersionOption{{Share: 1 - p.Share, Endpoints: old}, {Share: p.Share, Endpoints: target}}
+	return slices.DeleteFunc(options, func(o proxy.VersionOption) bool { return o.Share <= 0 })
+}
+
+// choose returns the endpoints for a request that is to run on the target version if
+// wantNew is set.
+func (p *Plan) choose(endpoints []*balance.Endpoint, rolledBack, wantNew bool) []*balance.Endpoint {
 	var old, target []*balance.Endpoint
 	for _, e := range endpoints {
 		switch {
@@ -157,40 +183,59 @@
 	return slices.ContainsFunc(endpoints, func(e *balance.Endpoint) bool { return e.Available })
 }
 
-// chooseWithoutPlan returns the endpoints of the version in use. Targets of a
-// version for which the operator has placed no order get no requests.
+// chooseWithoutPlan returns the endpoints of the version in use, and remembers it if there
+// is a choice. Targets of a version for which the operator has placed no order get no
+// requests.
 func (f *Follower) chooseWithoutPlan(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
-	if len(endpoints) == 0 {
-		return nil
+	if !haveVersions(endpoints) {
+		return endpoints
 	}
-	version := endpoints[0].Version
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version := majority(f.versionInUse[service], endpoints)
+	f.versionInUse[service] = version
+	return ofVersion(version, endpoints)
+}
+
+// withoutPlan returns what chooseWithoutPlan would return.
+func (f *Follower) withoutPlan(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
+	if !haveVersions(endpoints) {
+		return endpoints
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return ofVersion(majority(f.versionInUse[service], endpoints), endpoints)
+}
+
+// haveVersions reports whether the endpoints have different versions.
+func haveVersions(endpoints []*balance.Endpoint) bool {
 	for _, e := range endpoints {
-		if e.Version != version {
-			return f.chooseMajority(service, endpoints)
+		if e.Version != endpoints[0].Version {
+			return true
 		}
 	}
-	return endpoints
+	return false
 }
 
-// chooseMajority returns the endpoints of the version in use. If no endpoint has
-// that version any more, it is replaced by the version of the most endpoints.
-func (f *Follower) chooseMajority(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
+func ofVersion(version string, endpoints []*balance.Endpoint) []*balance.Endpoint {
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e *balance.Endpoint) bool { return e.Version != version })
+}
+
+// majority returns the version in use. If no endpoint has it any more, the version of
+// the most endpoints replaces it.
+func majority(inUse string, endpoints []*balance.Endpoint) string {
 	counts := make(map[string]int)
 	for _, e := range endpoints {
 		counts[e.Version]++
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	version := f.versionInUse[service]
-	if counts[version] == 0 {
-		versions := make([]string, 0, len(counts))
-		for v := range counts {
-			versions = append(versions, v)
-		}
-		version = slices.MaxFunc(versions, func(a, b string) int {
-			return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(b, a))
-		})
-		f.versionInUse[service] = version
+	if counts[inUse] > 0 {
+		return inUse
 	}
-	return slices.DeleteFunc(slices.Clone(endpoints), func(e *balance.Endpoint) bool { return e.Version != version })
+	versions := make([]string, 0, len(counts))
+	for v := range counts {
+		versions = append(versions, v)
+	}
+	return slices.MaxFunc(versions, func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(b, a))
+	})
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -210,6 +211,43 @@
 	}
 }
 
+// TestExplainedVersions guards against an explanation that names other versions than
+// requests get, or that decides which version is in use.
+func TestExplainedVersions(t *testing.T) {
+	endpoints := []*balance.Endpoint{{Version: "v1", Available: true}, {Version: "v2", Available: true}, {Version: "v2", Available: true}}
+	old, target := endpoints[:1], endpoints[1:]
+	f := NewFollower(zap.NewNop())
+	assert.Assert(t, slices.Equal(f.Explain(testService, endpoints)[0].Endpoints, target), "the version of most targets")
+	assert.Assert(t, slices.Equal(f.Choose(testService, old), old))
+	assert.Equal(t, len(f.versionInUse), 0)
+	f.versionInUse[testService] = "v1"
+	assert.Assert(t, slices.Equal(f.Explain(testService, endpoints)[0].Endpoints, old))
+
+	for _, c := range []struct {
+		plan   Plan
+		shares []float64 // of the old and of the target version
+	}{
+		{Plan{State: Active, Share: 0.25}, []float64{0.75, 0.25}},
+		{Plan{State: Active, Share: 0}, []float64{1, 0}},
+		{Plan{State: Active, Share: 1}, []float64{0, 1}},
+		{Plan{State: Completed}, []float64{0, 1}},
+		{Plan{State: RolledBack}, []float64{1, 0}},
+	} {
+		c.plan.Service, c.plan.Target = testService, "v2"
+		f.plans.Store(&map[string]*rankedPlan{testService: {Plan: c.plan}})
+		got := make([]float64, 2)
+		for _, option := range f.Explain(testService, endpoints) {
+			got[slices.Index([]string{"v1", "v2"}, option.Endpoints[0].Version)] = option.Share
+		}
+		assert.DeepEqual(t, got, c.shares)
+		for i, random := range []float64{0.99, 0} {
+			f.Random = func() float64 { return random }
+			chosen := f.Choose(testService, endpoints)
+			assert.Assert(t, got[i] == 0 || slices.Equal(chosen, [][]*balance.Endpoint{old, target}[i]), "%+v", c.plan)
+		}
+	}
+}
+
 // TestFaultSinceTheLastStep guards against a fault under load that the good attempts
 // of previous steps hide. In scenario lumretour (trouble-3, seed 283441353666) 232
 // of 1,798 requests reached the bad version, where 230 were allowed.
