Show explanations of a platform's daemon with nutmegctl

What operators saw: nutmegctl explain needed a token and asked the administration API only.

With a token it asks the administration API as before.

--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -151,21 +151,6 @@
 	}
 }
 
-func defineExplain(flags *flag.FlagSet) func(*invocation, []string) error {
-	method := flags.String("method", "GET", "`method` of the call")
-	return func(s *invocation, args []string) error {
-		if len(args) != 2 {
-			return &UsageError{Message: "explain needs HOST and PATH"}
-		}
-		var explanation admin.Explanation
-		query := map[string]string{"host": args[0], "path": args[1], "method": *method}
-		if err := s.client.get(s.ctx, admin.PathExplain, query, &explanation); err != nil {
-			return err
-		}
-		return s.print(explanation, func(w io.Writer) { writeExplanation(w, explanation) })
-	}
-}
-
 func rejectArguments(args []string) error {
 	if len(args) > 0 {
 		data, _ := json.Marshal(args[0]) // a string always encodes
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -50,7 +50,7 @@
 	{"get", "", "print the current configuration as an operator file", defineGet, false},
 	{"status", "", "show versions in force and the state of the store", defineStatus, false},
 	{"moves", "", "show the moves and their states", defineMoves, false},
-	{"explain", "HOST PATH", "show what the daemon would do with a call", defineExplain, false},
+	{"explain", "HOST PATH", "show where a request would go and why; without a token, at a daemon on the users' platform", defineExplain, true},
 	{"fleet", "", "show the daemons and targets that a daemon on the users' platform sees", defineFleet, true},
 	{"workspaces", "", "show the workspaces, their limits and numbers of keys", defineWorkspaces, true},
 }
@@ -60,6 +60,9 @@
 	ctx    context.Context
 	client *client
 	json   bool
+	// token is set if a token was given. Without one, the server is the metrics address
+	// of a daemon on the users' platform.
+	token bool
 	// operation is the idempotency key of an apply, for error reports.
 	operation string
 	stdout    io.Writer
@@ -111,7 +114,7 @@
 	if err != nil {
 		return exitUsage // the flag package has printed the error
 	}
-	s := &invocation{ctx: context.Background(), stdout: stdout, stderr: stderr, json: common.output == outputJSON}
+	s := &invocation{ctx: context.Background(), stdout: stdout, stderr: stderr, json: common.output == outputJSON, token: common.tokenFile != ""}
 	s.client, err = common.client(c.open)
 	if err == nil {
 		defer s.client.http.CloseIdleConnections()
