--- a/pkg/proxy/balance/explain_test.go
+++ b/pkg/proxy/balance/explain_test.go
@@ -46,26 +46,28 @@
 		}, "near", ColdShareDue},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			b, all := New(zap.NewNop()), twoDomains(c.near, c.far)
-			if c.change != nil {
-				c.change(b, all)
-			}
-			got := b.Explain(request, all)
-			assert.Equal(t, got.Reason, c.reason)
-			assert.Equal(t, len(got.Candidates), len(all))
-			chosen := b.Choose(request, all, nil)
-			for _, e := range []*Endpoint{got.Chosen, chosen} {
-				domain := ""
-				if e != nil {
-					domain = e.Domain
+			synctest.Test(t, func(t *testing.T) { // the known loads do not age
+				b, all := New(zap.NewNop()), twoDomains(c.near, c.far)
+				if c.change != nil {
+					c.change(b, all)
 				}
-				assert.Equal(t, domain, c.domain)
-			}
-			for _, candidate := range got.Candidates {
-				used := candidate.Endpoint.Available && candidate.Paused == 0
-				assert.Equal(t, candidate.Evaluated, used, candidate.Endpoint.Target)
-				assert.Equal(t, candidate.Full, used && candidate.Load > 2, candidate.Endpoint.Target)
-			}
+				got := b.Explain(request, all)
+				assert.Equal(t, got.Reason, c.reason)
+				assert.Equal(t, len(got.Candidates), len(all))
+				chosen := b.Choose(request, all, nil)
+				for _, e := range []*Endpoint{got.Chosen, chosen} {
+					domain := ""
+					if e != nil {
+						domain = e.Domain
+					}
+					assert.Equal(t, domain, c.domain)
+				}
+				for _, candidate := range got.Candidates {
+					used := candidate.Endpoint.Available && candidate.Paused == 0
+					assert.Equal(t, candidate.Evaluated, used, candidate.Endpoint.Target)
+					assert.Equal(t, candidate.Full, used && candidate.Load > 2, candidate.Endpoint.Target)
+				}
+			})
 		})
 	}
 }
@@ -121,7 +123,9 @@
 		}
 		return turns
 	}
-	without := turns(0)
-	assert.Assert(t, len(without) > 2, "%v", without)
-	assert.DeepEqual(t, turns(7), without)
+	synctest.Test(t, func(t *testing.T) {
+		without := turns(0)
+		assert.Assert(t, len(without) > 2, "%v", without)
+		assert.DeepEqual(t, turns(7), without)
+	})
 }
--- a/pkg/proxy/explain_internal_test.go
+++ b/pkg/proxy/explain_internal_test.go
@@ -121,37 +121,39 @@
 		{"no configuration", "/look/1", "acme", func(x *explained) { x.ingress.Config = &routing.Current{} }, "refused", "no_config", 503, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			x := newExplained()
-			if c.change != nil {
-				c.change(x)
-			}
-			got := x.explain(c.path, c.workspace)
-			assert.Equal(t, got.Outcome, c.outcome)
-			assert.Equal(t, got.Reason, c.reason)
-			assert.Equal(t, got.Status, c.status)
-			assert.Assert(t, got.Detail != "")
-			target, states := "", ""
-			for _, choice := range got.Choices {
-				assert.Equal(t, choice.Share, 1.0)
-				assert.Equal(t, len(choice.Targets), len(x.all))
-				for _, candidate := range choice.Targets {
-					if candidate.Chosen {
-						target, states = candidate.Zone, strings.Join(candidate.States, " ")
+			synctest.Test(t, func(t *testing.T) { // the known loads do not age
+				x := newExplained()
+				if c.change != nil {
+					c.change(x)
+				}
+				got := x.explain(c.path, c.workspace)
+				assert.Equal(t, got.Outcome, c.outcome)
+				assert.Equal(t, got.Reason, c.reason)
+				assert.Equal(t, got.Status, c.status)
+				assert.Assert(t, got.Detail != "")
+				target, states := "", ""
+				for _, choice := range got.Choices {
+					assert.Equal(t, choice.Share, 1.0)
+					assert.Equal(t, len(choice.Targets), len(x.all))
+					for _, candidate := range choice.Targets {
+						if candidate.Chosen {
+							target, states = candidate.Zone, strings.Join(candidate.States, " ")
+						}
 					}
 				}
-			}
-			assert.Equal(t, target, c.target)
-			assert.Equal(t, states, c.states)
-			if got.Workspace != nil {
-				assert.Equal(t, got.Workspace.Name, "acme")
-				assert.Equal(t, got.Route.Priority, 0, "the priority of the workspace")
-			}
-			text, err := json.Marshal(got)
-			assert.NilError(t, err)
-			digest := routing.DigestKey(explainedKey)
-			for _, secret := range []string{explainedKey, hex.EncodeToString(digest[:4])} {
-				assert.Assert(t, !strings.Contains(string(text), secret), "%s", text)
-			}
+				assert.Equal(t, target, c.target)
+				assert.Equal(t, states, c.states)
+				if got.Workspace != nil {
+					assert.Equal(t, got.Workspace.Name, "acme")
+					assert.Equal(t, got.Route.Priority, 0, "the priority of the workspace")
+				}
+				text, err := json.Marshal(got)
+				assert.NilError(t, err)
+				digest := routing.DigestKey(explainedKey)
+				for _, secret := range []string{explainedKey, hex.EncodeToString(digest[:4])} {
+					assert.Assert(t, !strings.Contains(string(text), secret), "%s", text)
+				}
+			})
 		})
 	}
 }
