--- a/pkg/ctl/explain_test.go
+++ b/pkg/ctl/explain_test.go
@@ -78,3 +78,22 @@
 		assert.Equal(t, code, exitUsage, text)
 	}
 }
+
+// TestExplainWithoutToken guards against an error that does not say what is missing, when
+// the server is not the metrics address of a daemon on the users' platform.
+func TestExplainWithoutToken(t *testing.T) {
+	other := httptest.NewServer(http.NotFoundHandler())
+	defer other.Close()
+	for _, c := range []struct {
+		address string
+		code    int
+		message string
+	}{
+		{startServer(t, nil).address, exitFailed, "a valid bearer token is needed"},
+		{strings.TrimPrefix(other.URL, "http://"), exitUsage, "does not explain requests; an administration API needs -token-file"},
+	} {
+		var out, errs bytes.Buffer
+		assert.Equal(t, Run([]string{"explain", "-server", c.address, "h", "/a"}, &out, &errs), c.code)
+		assert.Assert(t, strings.Contains(errs.String(), c.message), errs.String())
+	}
+}
