--- a/pkg/proxy/balance/domain.go
+++ b/pkg/proxy/balance/domain.go
@@ -37,6 +37,8 @@
 	time     float64 // in nanoseconds
 	full     bool    // the request would wait too long for a slot
 	load     float64 // running and waiting requests relative to the slots
+
+	run, wait, network float64 // parts of time, in nanoseconds
 }
 
 // domainKey identifies the targets of a service in one failure domain.
@@ -77,6 +79,7 @@
 	far      []domainOption
 	paused   *Endpoint // whose pause ends first
 	pauseEnd time.Time
+	reason   Reason // of the choice among the domains
 }
 
 // domain returns the option of the failure domain of an endpoint.
@@ -109,6 +112,9 @@
 			continue
 		}
 		c := b.evaluate(e, s, request, now)
+		if b.evaluated != nil {
+			*b.evaluated = append(*b.evaluated, c)
+		}
 		o.domain(e).add(&c, attempted[e.Target])
 	}
 	for i := range o.far {
@@ -144,12 +150,16 @@
 	far := o.bestFar(depends)
 	switch near := &o.near.best; {
 	case near.endpoint == nil && far != nil:
+		o.reason = otherDomainReason(far)
 		return far.endpoint
 	case near.endpoint == nil && depends:
+		o.reason = pausedReason(o.paused)
 		return o.paused
 	case far != nil && b.prefersFar(near, far, request):
+		o.reason = spillReason(near)
 		return far.endpoint
 	default:
+		o.reason = ownDomainReason(near)
 		return near.endpoint
 	}
 }
