--- a/pkg/proxy/balance/domain_test.go
+++ b/pkg/proxy/balance/domain_test.go
@@ -84,23 +84,25 @@
 // TestCommonFailures guards against a pause of most targets of a domain when all of them
 // reject a part of their requests: the remaining ones got more than they could run.
 func TestCommonFailures(t *testing.T) {
-	all := twoDomains(0.3, 1.2)
-	b := New(zap.NewNop())
-	request := &attempt.Request{Route: "r", Objective: 400 * time.Millisecond}
-	used := make(map[string]bool)
-	for range 200 {
-		e := b.Choose(request, all, nil)
-		used[e.Target] = true
-		b.Done(e, request, &Result{Failed: true, Took: time.Millisecond})
-	}
-	assert.Equal(t, len(used), 4, "targets in use: %v", used)
-	pausedOnly := 0
-	for range 50 {
-		if e := b.Choose(request, all, nil); b.stats[e.Target].pausedUntil.After(time.Now()) {
-			pausedOnly++
+	synctest.Test(t, func(t *testing.T) {
+		all := twoDomains(0.3, 1.2)
+		b := New(zap.NewNop())
+		request := &attempt.Request{Route: "r", Objective: 400 * time.Millisecond}
+		used := make(map[string]bool)
+		for range 200 {
+			e := b.Choose(request, all, nil)
+			used[e.Target] = true
+			b.Done(e, request, &Result{Failed: true, Took: time.Millisecond})
 		}
-	}
-	assert.Assert(t, pausedOnly > 0, "paused targets are used again")
+		assert.Equal(t, len(used), 4, "targets in use: %v", used)
+		pausedOnly := 0
+		for range 50 {
+			if e := b.Choose(request, all, nil); b.stats[e.Target].pausedUntil.After(time.Now()) {
+				pausedOnly++
+			}
+		}
+		assert.Assert(t, pausedOnly > 0, "paused targets are used again")
+	})
 }
 
 // TestFullDomainIsPaused guards against requests that cross domains one after the other
