--- a/pkg/proxy/attempt/attempt.go
+++ b/pkg/proxy/attempt/attempt.go
@@ -31,6 +31,10 @@
 	Objective time.Duration
 	Age       time.Duration // estimated time since the caller first sent the request, 0 for inner calls
 	Deadline  time.Time
+	Workspace string // empty if the request has none
+	Method    string
+	BodyBytes int64  // length of the body, -1 if unknown
+	Caller    string // calling service
 }
 
 // Late reports whether a request that returns after a refusal can no longer be answered
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -71,9 +71,14 @@
 // request returns the properties of the call that decide where it goes and when it gets
 // a slot.
 func (c *Call) request() *attempt.Request {
-	return &attempt.Request{
+	request := &attempt.Request{
 		Route: c.Route, Priority: c.Priority, Inner: c.Inner, Objective: c.Objective, Age: c.Age, Deadline: c.Deadline,
+		Workspace: c.Workspace, Method: c.Method, Caller: c.CallerService,
 	}
+	if c.Body != nil {
+		request.BodyBytes = c.Body.Length
+	}
+	return request
 }
 
 // Outcome is the result class of an attempt.
