Derive the wait for a slot from the running requests

What callers saw: a request waited in vain, or was refused, since the wait for a slot was derived from the average run although the target knew how long each of its requests had run. Cause: the queue kept a count of its running requests only. Change: the queue keeps its running requests. The time until a slot is free follows from the expected ends of their runs and of the waiting requests, in the order of the queue, and the outstanding work from the expected rests. A gate keeps the estimates when its target is replaced.

--- a/pkg/proxy/admission/queue.go
+++ b/pkg/proxy/admission/queue.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"nutmegstand.example/nutmegstand/pkg/proxy/attempt"
+	"nutmegstand.example/nutmegstand/pkg/proxy/cost"
 )
 
 // Reasons of a refusal.
@@ -35,6 +36,8 @@
 
 // waiter is a call that waits in the queue of a target.
 type waiter struct {
+	request   *attempt.Request
+	class     cost.Class
 	inner     bool
 	priority  int
 	late      bool
@@ -67,6 +70,8 @@
 	mu            sync.Mutex
 	slots         int
 	busy          int
+	running       []running // the calls that have the slots, oldest first
+	costs         *cost.Estimator
 	waiting       []*waiter
 	serviceTime   time.Duration            // moving average of the time of a request in the target
 	routeTimes    map[string]time.Duration // serviceTime by route
@@ -80,11 +85,15 @@
 	rateTimer     *time.Timer              // grants the next slot when the rate allows it, nil if none is needed
 }
 
-func NewQueue(slots int) *Queue {
+// NewQueue returns a queue that knows no run times.
+func NewQueue(slots int) *Queue { return NewQueueWithCosts(slots, cost.NewEstimator()) }
+
+// NewQueueWithCosts returns a queue that uses and extends the given estimates of run times.
+func NewQueueWithCosts(slots int, costs *cost.Estimator) *Queue {
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return &Queue{slots: slots, serviceTime: attempt.DefaultRunTime, routeTimes: make(map[string]time.Duration)}
+	return &Queue{slots: slots, costs: costs, serviceTime: attempt.DefaultRunTime, routeTimes: make(map[string]time.Duration)}
 }
 
 // Acquire waits for a slot. It returns an empty string if the call got one, and
@@ -95,13 +104,17 @@
 		defer q.mu.Unlock()
 		return q.closeReason
 	}
+	class := cost.ClassOf(request)
 	if q.busy < q.slots && len(q.waiting) == 0 && !q.isolated && q.takeRate() {
-		q.busy++
+		q.start(request, class)
 		q.mu.Unlock()
 		return ""
 	}
 	maxWait := q.maxWait(request)
-	w := &waiter{inner: request.Inner, priority: request.Priority, late: request.Late(q.workOf(request)), deadline: request.Deadline, waitUntil: time.Now().Add(maxWait), ready: make(chan string, 1)}
+	w := &waiter{
+		request: request, class: class, inner: request.Inner, priority: request.Priority, late: request.Late(q.workOf(request)),
+		deadline: request.Deadline, waitUntil: time.Now().Add(maxWait), ready: make(chan string, 1),
+	}
 	at := slices.IndexFunc(q.waiting, w.before)
 	if at < 0 {
 		at = len(q.waiting)
@@ -137,7 +150,7 @@
 	if granted := <-w.ready; granted != "" || ctx.Err() == nil {
 		return granted
 	}
-	q.releaseLocked()
+	q.finishLocked(q.indexOf(w.request), w.request.Route, 0)
 	return ReasonCallerGone
 }
 
@@ -161,37 +174,6 @@
 	return q.serviceTime
 }
 
-// expectedWait returns the expected time until a slot is free for a call with n
-// calls ahead of it in the queue.
-func (q *Queue) expectedWait(n int) time.Duration {
-	wait := q.rateWait(n)
-	if q.busy+n < q.slots {
-		return wait
-	}
-	return max(wait, q.serviceTime*time.Duration(q.busy+n-q.slots+1)/time.Duration(q.slots))
-}
-
-// Release frees a slot. ran is the time that the request spent in the target,
-// 0 if it must not count towards the service time.
-func (q *Queue) Release(route string, ran time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if ran > 0 {
-		q.serviceTime += time.Duration(serviceTimeWeight * float64(ran-q.serviceTime))
-		if average, ok := q.routeTimes[route]; ok {
-			q.routeTimes[route] = average + time.Duration(serviceTimeWeight*float64(ran-average))
-		} else {
-			q.routeTimes[route] = ran
-		}
-	}
-	q.releaseLocked()
-}
-
-func (q *Queue) releaseLocked() {
-	q.busy--
-	q.grantLocked()
-}
-
 // grantLocked grants free slots to waiting calls, as far as the rate allows it.
 func (q *Queue) grantLocked() {
 	now := time.Now()
@@ -207,7 +189,7 @@
 			w.ready <- ReasonQueueFull
 			continue
 		}
-		q.busy++
+		q.start(w.request, w.class)
 		w.ready <- ""
 	}
 }
@@ -237,6 +219,7 @@
 	defer q.mu.Unlock()
 	load := &attempt.Load{
 		Busy: q.busy, Queued: len(q.waiting), Slots: q.slots, ServiceTime: q.serviceTime, Wait: q.expectedWait(len(q.waiting)),
+		Backlog: q.outstanding(time.Now()),
 	}
 	if limit := q.lowestRate(); limit > 0 {
 		load.RateLimit, load.RateWait = limit, q.rateWait(len(q.waiting))
--- a/pkg/proxy/attempt/attempt.go
+++ b/pkg/proxy/attempt/attempt.go
@@ -58,6 +58,7 @@
 	Queued      int
 	Slots       int
 	ServiceTime time.Duration // average time of a request in the target
+	Backlog     time.Duration // time that the running and queued requests still need, added up, 0 if unknown
 	Wait        time.Duration // expected time until a slot is free, set on the target side only
 	RateLimit   float64       // requests per second that the target takes, 0 if it names no limit
 	RateWait    time.Duration // expected time until the limit allows another request
--- a/pkg/proxy/cost/cost.go
+++ b/pkg/proxy/cost/cost.go
@@ -95,14 +95,34 @@
 func (e *Estimator) Rest(class Class, elapsed time.Duration, now time.Time) (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if d := e.known(class, now); d != nil {
+		return d.rest(elapsed, now), true
+	}
+	return 0, false
+}
+
+// RestQuantiles returns rests of a run that has taken the given time, which are equally
+// likely. It returns false in the same cases as Rest.
+func (e *Estimator) RestQuantiles(class Class, elapsed time.Duration, now time.Time) ([Quantiles]time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d := e.known(class, now); d != nil {
+		return d.restQuantiles(elapsed, now), true
+	}
+	return [Quantiles]time.Duration{}, false
+}
+
+// known returns the distribution of a class, or of its route if few runs of the class are
+// known, or nil if the same holds for the route.
+func (e *Estimator) known(class Class, now time.Time) *distribution {
 	for _, key := range [...]Class{class, {Route: class.Route}} {
 		element := e.entries[key]
 		if element == nil {
 			continue
 		}
 		if d := &element.Value.(*entry).distribution; d.runs(now) >= minRuns {
-			return d.rest(elapsed, now), true
+			return d
 		}
 	}
-	return 0, false
+	return nil
 }
--- a/pkg/proxy/cost/cost_test.go
+++ b/pkg/proxy/cost/cost_test.go
@@ -36,6 +36,9 @@
 		rest, ok := e.Rest(class, seconds(elapsed), start)
 		assert.Assert(t, ok)
 		near(t, rest, want, 0.06)
+		rests, _ := e.RestQuantiles(class, seconds(elapsed), start)
+		median := (rests[Quantiles/2-1] + rests[Quantiles/2]) / 2
+		near(t, median, map[float64]float64{0: 0.1, 0.05: 0.05, 0.13: 0.57, 0.3: 0.4}[elapsed], 0.06)
 	}
 	for _, elapsed := range []time.Duration{2 * time.Second, time.Hour} {
 		rest, _ := e.Rest(class, elapsed, start)
@@ -101,6 +104,11 @@
 		}
 		elapsed := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "elapsed"))
 		rest := d.rest(elapsed, now)
+		for _, rest := range d.restQuantiles(elapsed, now) {
+			if rest < 0 || rest > 2*time.Hour {
+				t.Fatalf("%v after %v", rest, elapsed)
+			}
+		}
 		if rest <= 0 || rest > 2*time.Hour {
 			t.Fatalf("%v after %v", rest, elapsed)
 		}
@@ -129,4 +137,9 @@
 			e.Rest(class, 40*time.Millisecond, start)
 		}
 	})
+	b.Run("quantiles", func(b *testing.B) {
+		for b.Loop() {
+			e.RestQuantiles(class, 40*time.Millisecond, start)
+		}
+	})
 }
--- a/pkg/proxy/cost/distribution.go
+++ b/pkg/proxy/cost/distribution.go
@@ -17,6 +17,8 @@
 	// maxGrowth is the weight of a new run at which all weights are scaled down. It
 	// keeps the precision of float32.
 	maxGrowth = 1 << 10
+	// Quantiles is the number of equally likely rests that stand for a distribution.
+	Quantiles = 8
 	// tailWeight is the weight, in runs, of the assumption that a run takes as long again
 	// as it has taken, or the mean if that is longer. It decides only where few runs were
 	// that long.
@@ -35,8 +37,11 @@
 
 // bucketOf returns the bucket of a run time.
 func bucketOf(seconds float64) int {
+	if seconds <= minValue.Seconds() {
+		return 0
+	}
 	octaves := math.Log2(seconds / minValue.Seconds())
-	return min(max(0, int(math.Ceil(octaves*bucketsPerOctave))), buckets-1)
+	return min(int(math.Ceil(octaves*bucketsPerOctave)), buckets-1)
 }
 
 // growth returns the weight of a new run.
@@ -101,13 +106,51 @@
 	return seconds((excess + tail*assumed) / (weight + tail))
 }
 
+// restQuantiles returns rests of a run that has taken the given time, which are equally
+// likely.
+func (d *distribution) restQuantiles(elapsed time.Duration, now time.Time) (rests [Quantiles]time.Duration) {
+	passed := max(0, elapsed.Seconds())
+	i := bucketOf(passed)
+	tail := tailWeight * d.growth(now)
+	assumed := seconds(max(passed, d.sum/d.weight))
+	weight, _ := d.partBeyond(i, passed)
+	total := weight + tail
+	for j := i + 1; j < buckets; j++ {
+		total += float64(d.weights[j])
+	}
+	from, before := passed, 0.0 // where the part of bucket i begins, and the weight below it
+	for k := range rests {
+		wanted := total * (float64(k) + 0.5) / Quantiles
+		for i < buckets-1 && before+weight < wanted {
+			before += weight
+			from = max(from, upperBounds[i])
+			i++
+			weight = float64(d.weights[i])
+		}
+		if before+weight < wanted {
+			rests[k] = assumed
+			continue
+		}
+		rests[k] = seconds(from + (upperBounds[i]-from)*(wanted-before)/weight - passed)
+	}
+	return rests
+}
+
+// upperBounds are the upper bounds of the buckets in seconds.
+var upperBounds = func() (bounds [buckets]float64) {
+	for i := range bounds {
+		bounds[i] = minValue.Seconds() * math.Exp2(float64(i)/bucketsPerOctave)
+	}
+	return bounds
+}()
+
 // partBeyond returns the weight of the runs of a bucket that took longer than the given
 // time, and the sum of what exceeds it, if the runs are spread evenly in the bucket.
 func (d *distribution) partBeyond(i int, passed float64) (weight, excess float64) {
-	upper := minValue.Seconds() * math.Exp2(float64(i)/bucketsPerOctave)
-	lower := upper * math.Exp2(-1.0/bucketsPerOctave)
-	if i == 0 {
-		lower = 0
+	upper := upperBounds[i]
+	lower := 0.0
+	if i > 0 {
+		lower = upperBounds[i-1]
 	}
 	if passed >= upper {
 		return 0, 0 // in the last bucket, which has no upper bound
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -11,6 +11,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
+	"nutmegstand.example/nutmegstand/pkg/proxy/cost"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
 
@@ -80,6 +81,7 @@
 	mu        sync.Mutex
 	target    *LocalTarget
 	slots     *admission.Queue
+	costs     *cost.Estimator // of all targets that this gate has had
 	conns     *pool
 	leaveEnd  clock.Instant // no request is sent after it, 0 if the target is not leaving
 	downUntil clock.Instant
@@ -99,7 +101,7 @@
 	if options.Evacuation == nil {
 		options.Evacuation = noEvacuation{}
 	}
-	return &Gate{GateOptions: options, inFlight: make(map[*Call]bool), refusals: make(map[string]int)}
+	return &Gate{GateOptions: options, costs: cost.NewEstimator(), inFlight: make(map[*Call]bool), refusals: make(map[string]int)}
 }
 
 // SetTarget sets the target after an announcement. A target with a different ID
@@ -112,7 +114,7 @@
 		g.target, g.down = &t, false
 	} else {
 		g.closeLocked(ReasonNoTarget)
-		g.target, g.slots, g.conns = &t, admission.NewQueue(t.Slots), newPool(t.Address)
+		g.target, g.slots, g.conns = &t, admission.NewQueueWithCosts(t.Slots, g.costs), newPool(t.Address)
 		g.conns.lost = func() { g.loseConnection(&t) }
 		g.leaveEnd, g.down, g.downUntil = 0, false, 0
 		g.warmth, g.coldRate, g.coldTurn = warmth{}, 0, 0
@@ -248,15 +250,16 @@
 	arrived := time.Now()
 	g.Suspects.AwaitBody(ctx, call)
 	target, slots, conns, reason := g.admit(call)
+	request := call.request()
 	if reason == "" {
 		slots.AdoptRate(call.TargetLimit)
-		reason = slots.Acquire(ctx, call.request())
+		reason = slots.Acquire(ctx, request)
 	}
 	if reason == "" {
 		defer g.isolate(ctx, call, slots)()
 		// The conditions may have changed during the wait.
 		if _, _, _, reason = g.admit(call); reason != "" {
-			slots.Release(call.Route, 0)
+			slots.Finish(request, 0)
 		}
 	}
 	waited := time.Since(arrived)
@@ -273,7 +276,7 @@
 		g.logAttempt(call, result, waited)
 		return result
 	}
-	result := g.run(ctx, call, target, slots, conns)
+	result := g.run(ctx, call, request, target, slots, conns)
 	result.Waited = waited
 	g.logAttempt(call, result, waited)
 	return result
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -12,19 +12,23 @@
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
+	"nutmegstand.example/nutmegstand/pkg/proxy/attempt"
 )
 
 // leavingValue is the value of the header in the responses of a leaving target.
 const leavingValue = "1"
 
-// run sends a call that has been granted a slot to the target.
-func (g *Gate) run(ctx context.Context, call *Call, target *LocalTarget, slots *admission.Queue, conns *pool) *AttemptResult {
+// run sends a call that has been granted a slot to the target. request is the one that
+// has the slot.
+func (g *Gate) run(
+	ctx context.Context, call *Call, request *attempt.Request, target *LocalTarget, slots *admission.Queue, conns *pool,
+) *AttemptResult {
 	suspect := g.track(call)
 	started := time.Now()
 	phase := g.coldPhase()
 	finish := func(ran time.Duration) {
 		g.untrack(call)
-		slots.Release(call.Route, ran)
+		slots.Finish(request, ran)
 	}
 	maxIdle := time.Hour
 	if !call.Kind.Repeatable() {
