Report the outstanding work of a target and use it for the wait

What callers saw: a target whose slots were taken by long runs looked like any other with the same number of requests. Cause: caller sides knew the number of requests and an average run only. Change: each result carries the outstanding work (backlog_us), absent if it is 0. The expected wait follows from it and the expected run times of the own calls since, relative to the number of calls. A report loses its weight within 2 s, as before; a published load, which has no outstanding work, replaces it.

--- a/pkg/proxy/balance/balancer.go
+++ b/pkg/proxy/balance/balancer.go
@@ -75,6 +75,7 @@
 	inFlight            int
 	load                attempt.Load
 	callsSinceLoad      int           // calls started since the load was reported
+	workSinceLoad       time.Duration // expected run times of these calls, added up
 	slowness            float64       // run time relative to the average of the same routes, 0 if unknown
 	overhead            time.Duration // average time of a call in addition to queueing, execution and transfer
 	failures            float64       // moving failure rate
@@ -144,6 +145,7 @@
 	s := b.statsFor(best.Target)
 	s.inFlight++
 	s.callsSinceLoad++
+	s.workSinceLoad += b.expectedRun(s, request.Route)
 	s.usedAt = now
 	if s.consecutiveFailures >= failuresToPause {
 		// Until a call succeeds, at most one call per pauseBase probes the target.
@@ -169,11 +171,7 @@
 		wait = float64(s.callsSinceLoad) / e.ColdRate * float64(time.Second)
 	}
 	if occupied >= slots {
-		serviceTime := float64(s.load.ServiceTime)
-		if serviceTime == 0 {
-			serviceTime = run
-		}
-		wait = max(wait, serviceTime*(occupied-slots+1)/slots)
+		wait = max(wait, s.workPerCall(run, freshness)*(occupied-slots+1)/slots)
 	}
 	t += wait
 	full := !request.Inner && wait > float64(request.MaxQueueWait(time.Duration(run)))
@@ -200,7 +198,8 @@
 		return
 	}
 	s.load.Busy, s.load.Queued, s.load.At = int(math.Round(published.load*slots)), 0, measured
-	s.callsSinceLoad = 0
+	s.load.Backlog = 0 // of another time
+	s.callsSinceLoad, s.workSinceLoad = 0, 0
 }
 
 // expectedRun returns the expected run time of a request of the given route in
@@ -297,10 +296,11 @@
 	if result.Load != nil {
 		s.load = *result.Load
 		s.load.At = now
-		s.callsSinceLoad = 0
-	} else {
+		s.callsSinceLoad, s.workSinceLoad = 0, 0
+	} else if s.callsSinceLoad > 0 {
 		// The completed call no longer adds to the load that was last reported.
-		s.callsSinceLoad = max(0, s.callsSinceLoad-1)
+		s.workSinceLoad -= s.workSinceLoad / time.Duration(s.callsSinceLoad)
+		s.callsSinceLoad--
 	}
 	if result.Answered && !result.Failed {
 		b.recordRun(s, request.Route, result.Ran)
--- a/pkg/proxy/cost/cost.go
+++ b/pkg/proxy/cost/cost.go
@@ -47,7 +47,8 @@
 	distribution distribution
 }
 
-// Estimator learns the distributions. It is safe for concurrent use.
+// Estimator learns the distributions. It is safe for concurrent use. A nil *Estimator
+// learns nothing and knows no class.
 type Estimator struct {
 	mu      sync.Mutex
 	entries map[Class]*list.Element // of recent
@@ -61,7 +62,7 @@
 
 // Observe records that a request of a class ran for the given time.
 func (e *Estimator) Observe(class Class, ran time.Duration, now time.Time) {
-	if ran <= 0 {
+	if e == nil || ran <= 0 {
 		return
 	}
 	e.mu.Lock()
@@ -93,6 +94,9 @@
 // run if that is 0. It returns false if too few runs of the class and of its route are
 // known.
 func (e *Estimator) Rest(class Class, elapsed time.Duration, now time.Time) (time.Duration, bool) {
+	if e == nil {
+		return 0, false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if d := e.known(class, now); d != nil {
@@ -104,6 +108,9 @@
 // RestQuantiles returns rests of a run that has taken the given time, which are equally
 // likely. It returns false in the same cases as Rest.
 func (e *Estimator) RestQuantiles(class Class, elapsed time.Duration, now time.Time) ([Quantiles]time.Duration, bool) {
+	if e == nil {
+		return [Quantiles]time.Duration{}, false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if d := e.known(class, now); d != nil {
--- a/pkg/proxy/hop.go
+++ b/pkg/proxy/hop.go
@@ -112,7 +112,7 @@
 		RanUs: a.Ran.Microseconds(), WaitedUs: a.Waited.Microseconds(), InnerFailed: a.InnerFailed,
 	}
 	if l := a.Load; l != nil {
-		m.Load = &pb.TargetLoad{Busy: int32(l.Busy), Queued: int32(l.Queued), Slots: int32(l.Slots), ServiceUs: l.ServiceTime.Microseconds(), UplinkKb: int32(l.Uplink), RateLimit: l.RateLimit, RateWaitUs: l.RateWait.Microseconds()}
+		m.Load = &pb.TargetLoad{Busy: int32(l.Busy), Queued: int32(l.Queued), Slots: int32(l.Slots), ServiceUs: l.ServiceTime.Microseconds(), UplinkKb: int32(l.Uplink), RateLimit: l.RateLimit, RateWaitUs: l.RateWait.Microseconds(), BacklogUs: l.Backlog.Microseconds()}
 	}
 	return encodeHeader(m)
 }
@@ -137,6 +137,7 @@
 			Busy: int(l.GetBusy()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
 			ServiceTime: time.Duration(l.GetServiceUs()) * time.Microsecond, Uplink: float64(l.GetUplinkKb()), At: time.Now(),
 			RateLimit: l.GetRateLimit(), RateWait: time.Duration(l.GetRateWaitUs()) * time.Microsecond,
+			Backlog: time.Duration(max(0, l.GetBacklogUs())) * time.Microsecond,
 		}
 	}
 	return a, nil
