Share the slots of a target between workspaces

What callers saw: while one workspace sent several times its usual demand, the requests of all others were refused as often as its own. Cause: waiting requests of the same priority were ordered by deadline only. Change: among waiting requests of the same kind, priority and lateness, the workspace that has received less of the target's recent service (half-life 5 s) goes first; requests without a workspace count as one. Service is charged with the expected run time at the start and corrected at the end. The expected wait follows the same order, so a workspace with little service is not refused because of the requests of others. 1,024 workspaces are remembered.

--- a/pkg/proxy/admission/queue.go
+++ b/pkg/proxy/admission/queue.go
@@ -44,6 +44,13 @@
 	deadline  time.Time   // of the call
 	waitUntil time.Time   // latest time at which a slot is granted
 	ready     chan string // receives the reason of a refusal, empty if a slot is granted
+	turn      float64     // service of its workspace before it is its turn
+}
+
+// sameGroup reports whether the order of two calls depends on their workspaces and
+// deadlines only.
+func (w *waiter) sameGroup(other *waiter) bool {
+	return w.inner == other.inner && w.priority == other.priority && w.late == other.late
 }
 
 // before defines the queue order: inner calls first, since refusing them wastes
@@ -72,6 +79,7 @@
 	busy          int
 	running       []running // the calls that have the slots, oldest first
 	costs         *cost.Estimator
+	shares        shares
 	waiting       []*waiter
 	serviceTime   time.Duration            // moving average of the time of a request in the target
 	routeTimes    map[string]time.Duration // serviceTime by route
@@ -115,15 +123,14 @@
 		request: request, class: class, inner: request.Inner, priority: request.Priority, late: request.Late(q.workOf(request)),
 		deadline: request.Deadline, waitUntil: time.Now().Add(maxWait), ready: make(chan string, 1),
 	}
-	at := slices.IndexFunc(q.waiting, w.before)
-	if at < 0 {
-		at = len(q.waiting)
-	}
+	q.waiting = append(q.waiting, w)
+	q.arrange(time.Now())
+	at := slices.Index(q.waiting, w)
 	if q.expectedWait(at) > maxWait {
-		defer q.mu.Unlock()
+		q.waiting = slices.Delete(q.waiting, at, at+1)
+		q.mu.Unlock()
 		return ReasonQueueFull
 	}
-	q.waiting = slices.Insert(q.waiting, at, w)
 	q.grantLocked()
 	q.mu.Unlock()
 	return q.wait(ctx, w, maxWait)
--- a/pkg/proxy/admission/work.go
+++ b/pkg/proxy/admission/work.go
@@ -18,12 +18,16 @@
 	request *attempt.Request
 	class   cost.Class
 	started time.Time
+	charged time.Duration // service that its workspace was charged with at the start
 }
 
 // start gives a slot to a call.
 func (q *Queue) start(request *attempt.Request, class cost.Class) {
+	now := time.Now()
+	charged := q.restOf(class, 0, now)
+	q.shares.add(request.Workspace, charged, now)
 	q.busy++
-	q.running = append(q.running, running{request: request, class: class, started: time.Now()})
+	q.running = append(q.running, running{request: request, class: class, started: now, charged: charged})
 }
 
 // Finish frees the slot of the given request, for which Acquire was called. ran is the
@@ -48,9 +52,9 @@
 		q.recordRun(route, ran)
 	}
 	if i >= 0 {
-		if ran > 0 {
-			q.costs.Observe(q.running[i].class, ran, time.Now())
-		}
+		ended, now := q.running[i], time.Now()
+		q.costs.Observe(ended.class, ran, now)
+		q.shares.add(ended.request.Workspace, now.Sub(ended.started)-ended.charged, now)
 		q.running = slices.Delete(q.running, i, i+1)
 	}
 	q.busy--
