--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -27,9 +27,25 @@
 	if err != nil {
 		return err
 	}
+	if err := n.registerOutstandingWork(meter); err != nil {
+		return err
+	}
 	return n.registerConnections(meter)
 }
 
+// registerOutstandingWork registers the gauge of what the local target still has to do.
+func (n *Node) registerOutstandingWork(meter metric.Meter) error {
+	_, err := meter.Float64ObservableGauge("nutmegstand_outstanding_work_seconds",
+		metric.WithDescription("Expected time that the running and waiting requests still need in the local target, added up."), metric.WithUnit("s"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			if load := n.gate.Load(); load != nil {
+				o.Observe(load.Backlog.Seconds())
+			}
+			return nil
+		}))
+	return err
+}
+
 // registerConnections registers the gauges of the connections by listener.
 func (n *Node) registerConnections(meter metric.Meter) error {
 	connections, err := meter.Int64ObservableGauge("nutmegstand_connections",
