--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -102,18 +102,17 @@
 	route   *routing.Route
 	table   *routing.Table
 
-	attempted     map[string]bool // targets to which an attempt was made
-	contacted     map[string]bool // targets that may have received the request
-	steps         []string        // attempts and decisions, for the log
-	sentCount     int             // attempts that may have reached a target
-	refusalCount  int
-	mayHaveRun    bool // a target may have run the request
-	permit        quota.Permit
-	parentRetried bool // the request is a call of a run that was itself a retry
-	retryAfter    time.Duration
-	client        client          // what the request says about its sender
-	denied        access.Decision // why a newer configuration does not allow the request, zero if it does
-	fallback      *AttemptResult  // error response of a target, delivered if no later attempt gets a response
+	attempted    map[string]bool // targets to which an attempt was made
+	contacted    map[string]bool // targets that may have received the request
+	steps        []string        // attempts and decisions, for the log
+	sentCount    int             // attempts that may have reached a target
+	refusalCount int
+	mayHaveRun   bool // a target may have run the request
+	permit       quota.Permit
+	retryAfter   time.Duration
+	client       client          // what the request says about its sender
+	denied       access.Decision // why a newer configuration does not allow the request, zero if it does
+	fallback     *AttemptResult  // error response of a target, delivered if no later attempt gets a response
 }
 
 // ServeHTTP implements http.Handler.
@@ -171,7 +170,7 @@
 		Body: requestBody(r), CallerService: i.Service, CallerMbps: i.LinkMbps, Received: received, Inner: sender.Inner,
 	}
 	return &requestState{
-		ingress: i, call: call, attempted: make(map[string]bool), contacted: make(map[string]bool), client: sender, parentRetried: sender.parentRetried,
+		ingress: i, call: call, attempted: make(map[string]bool), contacted: make(map[string]bool), client: sender,
 	}
 }
 
@@ -202,7 +201,7 @@
 		}
 	}
 	i.Budget.RecordRequest(s.call.Service)
-	if s.parentRetried {
+	if s.client.parentRetried {
 		s.addStep("call of a repeated run")
 		i.Budget.RecordRetry(s.call.Service)
 	}
