--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -167,13 +167,8 @@
 // or has been there for settleDelay.
 func (m *Members) settles(now clock.Instant, members []Member) bool {
 	uptime := now.Sub(m.startedAt)
-	return uptime >= tableDelay && (uptime >= settleDelay || !joinedRunning(members)) && m.mostConnected(members)
-}
-
-// joinedRunning reports whether a member that may be an accountant has run since before
-// the local daemon started. One that is leaving grants nothing.
-func joinedRunning(members []Member) bool {
-	return slices.ContainsFunc(members, func(member Member) bool { return member.Older && member.Live && !member.Retired })
+	joined := slices.ContainsFunc(members, func(member Member) bool { return member.Older })
+	return uptime >= tableDelay && (uptime >= settleDelay || !joined) && m.mostConnected(members)
 }
 
 // ranked returns the members that may be accountants. While none has settled, all of them
@@ -239,7 +234,8 @@
 // them has run since before the local daemon started. No permits of earlier processes
 // are in use then.
 func (m *Members) allRestarted(now clock.Instant, members []Member) bool {
-	return now.Sub(m.startedAt) < startDelay && !joinedRunning(members) && m.mostConnected(members)
+	joined := slices.ContainsFunc(members, func(member Member) bool { return member.Older })
+	return now.Sub(m.startedAt) < startDelay && !joined && m.mostConnected(members)
 }
 
 // mostConnected reports whether most of the registered daemons are connected.
