--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -36,7 +36,6 @@
 	Stopping    bool    `json:"stopping,omitempty"`   // no longer takes roles
 	Leaving     bool    `json:"leaving,omitempty"`    // no longer accepts calls
 	StoreFails  bool    `json:"storeFails,omitempty"` // the daemon cannot reach the store
-	Settled     bool    `json:"settled,omitempty"`    // the daemon may account for the limits of workspaces
 	Target      *Target `json:"target,omitempty"`
 }
 
--- a/pkg/node/workspacelimits.go
+++ b/pkg/node/workspacelimits.go
@@ -91,9 +91,6 @@
 	defer ticker.Stop()
 	for {
 		n.quotaMembers.Observe(n.clock.Now())
-		if n.quotaMembers.Settled() {
-			n.fleet.Update(func(s *fleet.State) { s.Settled = true }) // pushed only if it changes
-		}
 		select {
 		case <-ctx.Done():
 			return
@@ -119,8 +116,8 @@
 		members = append(members, quota.Member{
 			Candidate: fleet.Candidate{Name: m.Name, LinkMbps: m.State.LinkMbps, Cores: m.State.Cores},
 			Live:      m.Live(now), Retired: m.State.Stopping || m.State.Leaving, Leaving: m.State.Leaving,
-			HeartbeatAge: now.Sub(m.LastHeartbeat), Settled: m.State.Settled,
-			Older: m.Incarnation+uint64(olderPeerAge.Milliseconds()) < started,
+			HeartbeatAge: now.Sub(m.LastHeartbeat),
+			Older:        m.Incarnation+uint64(olderPeerAge.Milliseconds()) < started,
 		})
 	})
 	return members
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -26,10 +26,6 @@
 	// startDelay is the uptime before which a daemon grants nothing. Its predecessor
 	// ranks it by then. After a restart of the whole fleet there is no predecessor.
 	startDelay = tableDelay + joinDelay
-	// settleDelay is the uptime after which a daemon that joined a running fleet may be an
-	// accountant. Each change of the accountant refuses requests for about a second, and
-	// new VMs come in numbers.
-	settleDelay = 30 * time.Second
 	// restartShare is the share of the rate that a daemon grants until startDelay after
 	// a restart of the whole fleet. Two daemons may be in charge until they rank each
 	// other.
@@ -64,7 +60,6 @@
 	Retired      bool          // it has announced that it takes no roles
 	Leaving      bool          // it has announced that it ends
 	HeartbeatAge time.Duration // since its heartbeat last advanced
-	Settled      bool          // it has announced that it may be an accountant
 	Older        bool          // its process has run since well before that of the local daemon
 }
 
@@ -102,7 +97,6 @@
 	observed   bool
 	observedAt clock.Instant
 	version    uint64
-	settled    bool                     // the local daemon may be an accountant
 	restarted  bool                     // the whole fleet has restarted, as far as the last observation tells
 	firstSeen  map[string]clock.Instant // members that are ranked or will be
 	known      map[string]clock.Instant // last seen in the table
@@ -136,7 +130,6 @@
 	m.observed, m.observedAt = true, now
 	m.observeShare(now, members)
 	m.restarted = m.allRestarted(now, members)
-	m.settled = m.settled || m.settles(now, members)
 	m.forgetAbsent(members)
 	ranked := m.ranked(now, members)
 	if len(m.views) > 0 {
@@ -155,27 +148,9 @@
 	m.dropOldViews(now)
 }
 
-// Settled reports whether the local daemon may be an accountant, which it then has to
-// announce to all.
-func (m *Members) Settled() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.settled
-}
-
-// settles reports whether the local daemon started together with the rest of the fleet,
-// or has been there for settleDelay.
-func (m *Members) settles(now clock.Instant, members []Member) bool {
-	uptime := now.Sub(m.startedAt)
-	joined := slices.ContainsFunc(members, func(member Member) bool { return member.Older })
-	return uptime >= tableDelay && (uptime >= settleDelay || !joined) && m.mostConnected(members)
-}
-
-// ranked returns the members that may be accountants. While none has settled, all of them
-// may.
+// ranked returns the members that may be accountants.
 func (m *Members) ranked(now clock.Instant, members []Member) []fleet.Candidate {
 	var ranked []fleet.Candidate
-	anySettled := slices.ContainsFunc(members, func(member Member) bool { return member.Settled && member.Live && !member.Retired })
 	for _, member := range members {
 		if !member.Live || member.Retired {
 			delete(m.firstSeen, member.Name)
@@ -186,9 +161,6 @@
 			seen = now
 			m.firstSeen[member.Name] = now
 		}
-		if anySettled && !member.Settled {
-			continue
-		}
 		// Members that were found at the start of this daemon were probably there before.
 		if member.Name == m.self || seen.Sub(m.startedAt) < joinDelay || now.Sub(seen) >= joinDelay {
 			ranked = append(ranked, member.Candidate)
@@ -234,20 +206,20 @@
 // them has run since before the local daemon started. No permits of earlier processes
 // are in use then.
 func (m *Members) allRestarted(now clock.Instant, members []Member) bool {
-	joined := slices.ContainsFunc(members, func(member Member) bool { return member.Older })
-	return now.Sub(m.startedAt) < startDelay && !joined && m.mostConnected(members)
-}
-
-// mostConnected reports whether most of the registered daemons are connected.
-func (m *Members) mostConnected(members []Member) bool {
 	expected, registered := m.source.Expected()
+	if !registered || now.Sub(m.startedAt) >= startDelay {
+		return false
+	}
 	connected := 0
 	for _, member := range members {
+		if member.Older {
+			return false
+		}
 		if member.Name == m.self || member.HeartbeatAge <= freshAfter {
 			connected++
 		}
 	}
-	return registered && connected*2 > max(expected, len(m.known))
+	return connected*2 > max(expected, len(m.known))
 }
 
 func (m *Members) observeShare(now clock.Instant, members []Member) {
