Compare routes and workspaces between versions by the same code

What callers saw: nothing changes for them. Cause: workspaces came with copies of the three loops that compare, apply and share routes between two versions of the configuration. Evidence: read side by side, the loops differ in the type only. Change: reuseResources, diffResources and applyResources serve both types.

--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -51,6 +51,8 @@
 	return false
 }
 
+func (r *Route) name() string { return r.Name }
+
 func (r *Route) equal(o *Route) bool {
 	if r == o {
 		return true
@@ -98,20 +100,6 @@
 	Workspaces []*Workspace `json:"workspaces,omitempty"`
 }
 
-// reuseRoutes replaces the routes that are equal in the previous version by those
-// of that version, so that several versions with many routes fit into memory.
-func (c *Config) reuseRoutes(previous *Config) {
-	byName := make(map[string]*Route, len(previous.Routes))
-	for _, route := range previous.Routes {
-		byName[route.Name] = route
-	}
-	for i, route := range c.Routes {
-		if old := byName[route.Name]; old != nil && route.equal(old) {
-			c.Routes[i] = old
-		}
-	}
-}
-
 // Delta is the difference between two versions of the configuration.
 type Delta struct {
 	From     uint64    `json:"from"`
@@ -128,21 +116,8 @@
 // Diff returns the delta from old to c.
 func (c *Config) Diff(old *Config) *Delta {
 	delta := &Delta{From: old.Version, Version: c.Version, Services: c.Services, Limits: c.Limits}
-	before := make(map[string]*Route, len(old.Routes))
-	for _, route := range old.Routes {
-		before[route.Name] = route
-	}
-	for _, route := range c.Routes {
-		previous, ok := before[route.Name]
-		if !ok || !route.equal(previous) {
-			delta.Set = append(delta.Set, route)
-		}
-		delete(before, route.Name)
-	}
-	for name := range before {
-		delta.Removed = append(delta.Removed, name)
-	}
-	delta.SetWorkspaces, delta.RemovedWorkspaces = diffWorkspaces(old.Workspaces, c.Workspaces)
+	delta.Set, delta.Removed = diffResources(old.Routes, c.Routes)
+	delta.SetWorkspaces, delta.RemovedWorkspaces = diffResources(old.Workspaces, c.Workspaces)
 	return delta
 }
 
@@ -153,19 +128,7 @@
 		return nil, false
 	}
 	next := &Config{Version: delta.Version, Services: delta.Services, Limits: delta.Limits}
-	next.Workspaces = applyWorkspaces(c.Workspaces, delta.SetWorkspaces, delta.RemovedWorkspaces)
-	changed := make(map[string]bool, len(delta.Set)+len(delta.Removed))
-	for _, name := range delta.Removed {
-		changed[name] = true
-	}
-	for _, route := range delta.Set {
-		changed[route.Name] = true
-	}
-	for _, route := range c.Routes {
-		if !changed[route.Name] {
-			next.Routes = append(next.Routes, route)
-		}
-	}
-	next.Routes = append(next.Routes, delta.Set...)
+	next.Routes = applyResources(c.Routes, delta.Set, delta.Removed)
+	next.Workspaces = applyResources(c.Workspaces, delta.SetWorkspaces, delta.RemovedWorkspaces)
 	return next, true
 }
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -19,7 +19,7 @@
 // NewTable compiles a configuration.
 func NewTable(c *Config) *Table {
 	t := newTable(c)
-	t.workspaces, t.keys = workspacesByName(c.Workspaces), newKeyIndex(c.Workspaces)
+	t.workspaces, t.keys = byName(c.Workspaces), newKeyIndex(c.Workspaces)
 	return t
 }
 
@@ -27,7 +27,7 @@
 // previous one.
 func newTableAfter(previous *Table, c *Config) *Table {
 	t := newTable(c)
-	t.workspaces = workspacesByName(c.Workspaces)
+	t.workspaces = byName(c.Workspaces)
 	t.keys = previous.keys.update(previous.workspaces, c.Workspaces)
 	return t
 }
@@ -130,7 +130,7 @@
 	if current == nil {
 		return NewTable(config)
 	}
-	config.reuseRoutes(current.Config)
-	config.reuseWorkspaces(current)
+	reuseResources(byName(current.Config.Routes), config.Routes)
+	reuseResources(current.workspaces, config.Workspaces)
 	return newTableAfter(current, config)
 }
--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -57,6 +57,8 @@
 	Priority *int        `json:"priority,omitempty"` // replaces that of the route, nil to keep that
 }
 
+func (w *Workspace) name() string { return w.Name }
+
 func (w *Workspace) equal(o *Workspace) bool {
 	if w == o {
 		return true
@@ -79,63 +81,9 @@
 	return hex.EncodeToString(h.Sum(nil)[:sha256.Size/2])
 }
 
-func workspacesByName(workspaces []*Workspace) map[string]*Workspace {
-	if len(workspaces) == 0 {
-		return nil
-	}
-	byName := make(map[string]*Workspace, len(workspaces))
-	for _, w := range workspaces {
-		byName[w.Name] = w
-	}
-	return byName
-}
-
-// reuseWorkspaces replaces the workspaces that are equal in the previous version by
-// those of that version.
-func (c *Config) reuseWorkspaces(previous *Table) {
-	for i, w := range c.Workspaces {
-		if old := previous.workspaces[w.Name]; old != nil && w.equal(old) {
-			c.Workspaces[i] = old
-		}
-	}
-}
-
-// diffWorkspaces returns the changed workspaces and the names of the removed ones.
-func diffWorkspaces(old, next []*Workspace) (set []*Workspace, removed []string) {
-	before := workspacesByName(old)
-	for _, w := range next {
-		if previous, ok := before[w.Name]; !ok || !w.equal(previous) {
-			set = append(set, w)
-		}
-		delete(before, w.Name)
-	}
-	for name := range before {
-		removed = append(removed, name)
-	}
-	return set, removed
-}
-
-// applyWorkspaces returns the workspaces that result from changing and removing some.
-func applyWorkspaces(old, set []*Workspace, removed []string) []*Workspace {
-	changed := make(map[string]bool, len(set)+len(removed))
-	for _, name := range removed {
-		changed[name] = true
-	}
-	for _, w := range set {
-		changed[w.Name] = true
-	}
-	var next []*Workspace
-	for _, w := range old {
-		if !changed[w.Name] {
-			next = append(next, w)
-		}
-	}
-	return append(next, set...)
-}
-
 // CountChanges returns the numbers of workspaces that are new or changed, and of those
 // that were removed.
 func CountChanges(old, next []*Workspace) (changed, removed int) {
-	set, names := diffWorkspaces(old, next)
+	set, names := diffResources(old, next)
 	return len(set), len(names)
 }
