Use one loop for temporary errors of accept, and one search for victims

What callers saw: nothing changes for them. Cause: the guarded listeners and the server of callers each had a copy of the retry after a temporary error of accept, and the pool searched its two queues in order in three places. Change: connguard.Accept serves both listeners, Pool.first all searches.

--- a/pkg/connguard/listener.go
+++ b/pkg/connguard/listener.go
@@ -56,18 +56,26 @@
 // end at the first error.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		accepted, err := l.Listener.Accept()
-		switch {
-		case err == nil:
-			if c := l.guard(accepted); c != nil {
-				return c, nil
-			}
-		case temporary(err):
-			l.Reporter.AcceptFailed(err)
-			time.Sleep(acceptPause)
-		default:
+		accepted, err := Accept(l.Listener, l.Reporter)
+		if err != nil {
 			return nil, err
 		}
+		if c := l.guard(accepted); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// Accept returns the next connection of a listener. It reports temporary errors, such as a
+// shortage of file descriptors, and tries again.
+func Accept(l net.Listener, reporter *Reporter) (net.Conn, error) {
+	for {
+		conn, err := l.Accept()
+		if err == nil || !temporary(err) {
+			return conn, err
+		}
+		reporter.AcceptFailed(err)
+		time.Sleep(acceptPause)
 	}
 }
 
--- a/pkg/connlimit/connlimit.go
+++ b/pkg/connlimit/connlimit.go
@@ -90,17 +90,19 @@
 
 // victim returns the first connection to close, nil if there is none.
 func (p *Pool) victim() *Conn {
-	for _, queue := range []*list.List{&p.fresh, &p.served} {
-		if victim := before(queue, nil, idle); victim != nil {
-			return victim
-		}
+	if victim := p.first(nil, idle); victim != nil {
+		return victim
 	}
-	for _, queue := range []*list.List{&p.fresh, &p.served} {
-		if victim := before(queue, nil, stalled); victim != nil {
-			return victim
-		}
+	return p.first(nil, stalled)
+}
+
+// first returns the first connection that suits and comes before c in its queue, nil if
+// there is none. Those that have not completed a request come first.
+func (p *Pool) first(c *Conn, suits func(*Conn) bool) *Conn {
+	if victim := before(&p.fresh, c, suits); victim != nil {
+		return victim
 	}
-	return nil
+	return before(&p.served, c, suits)
 }
 
 func idle(c *Conn) bool { return c.active == 0 }
@@ -213,10 +215,7 @@
 		return true, nil
 	}
 	for p.memory+bytes > p.limits.Memory {
-		victim := before(&p.fresh, c, holding)
-		if victim == nil {
-			victim = before(&p.served, c, holding)
-		}
+		victim := p.first(c, holding)
 		if victim == nil {
 			return false, victims
 		}
--- a/pkg/proxy/callerserver.go
+++ b/pkg/proxy/callerserver.go
@@ -94,16 +94,11 @@
 		return http.ErrServerClosed
 	}
 	for {
-		conn, err := listener.Accept()
+		conn, err := connguard.Accept(listener, s.Reporter)
 		if err != nil {
 			if s.isClosing() {
 				return http.ErrServerClosed
 			}
-			if temporary(err) {
-				s.Reporter.AcceptFailed(err)
-				time.Sleep(pollInterval)
-				continue
-			}
 			return err
 		}
 		if c := s.add(conn); c != nil {
@@ -114,13 +109,6 @@
 	}
 }
 
-// temporary reports whether accepting may succeed later, such as after a shortage of
-// file descriptors.
-func temporary(err error) bool {
-	t, ok := err.(interface{ Temporary() bool })
-	return ok && t.Temporary()
-}
-
 func (s *CallerServer) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
