Return the memory of a refused request before its connection ends

What callers saw: while a refused caller kept its connection open, up to the linger time, its header still counted against the listener, and another caller whose header was just decoded could be closed for want of that memory. Cause: memory taken for a header was returned with its exchange or with the connection; a request that is refused while it is read has no exchange. Evidence: TestRoomForRequests failed 2 of about 30 runs ("unexpected EOF"). A trace of the pool showed 6,246 bytes held by the refused connection, and one of two waiting requests closed for the other. Change: the memory is returned before the refusal is written.

--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -58,6 +58,7 @@
 	for {
 		r, err := c.readRequest()
 		if err != nil {
+			c.releaseRead()
 			c.rejectMalformed(err)
 			break
 		}
--- a/pkg/proxy/callerroom.go
+++ b/pkg/proxy/callerroom.go
@@ -80,6 +80,13 @@
 	return nil
 }
 
+// releaseRead returns the memory taken for a request that is not read further. The
+// connection may stay open for lingerTimeout.
+func (c *callerConn) releaseRead() {
+	c.slot.Release(c.memory)
+	c.memory = 0
+}
+
 // evict closes the connection because of a limit.
 func (c *callerConn) evict(reason connlimit.Reason) {
 	c.server.Reporter.Closed(reason)
