Derive what a queue knows of a call from its request

What callers saw: nothing changes for them. Cause: a waiting call kept copies of three fields of its request; the limiters of the named rate and of the cold rate were set up by two copies of one piece; and Release, which guesses the call whose slot to free, was called by tests only. Evidence: all callers in the daemon use Finish with the request itself. Change: the copies of the fields, Release and its search are removed, withRate sets up both limiters. Tests free slots by Finish, with unchanged assertions.

--- a/pkg/proxy/admission/cold.go
+++ b/pkg/proxy/admission/cold.go
@@ -17,13 +17,7 @@
 	defer q.mu.Unlock()
 	q.cold = limit > 0
 	if q.cold {
-		burst := max(1, int(limit*coldBurst.Seconds()))
-		if q.coldRate == nil {
-			q.coldRate = rate.NewLimiter(rate.Limit(limit), burst)
-		} else {
-			q.coldRate.SetLimit(rate.Limit(limit))
-			q.coldRate.SetBurst(burst)
-		}
+		q.coldRate = withRate(q.coldRate, limit, coldBurst)
 	}
 	q.stopRateTimer()
 	q.grantLocked()
--- a/pkg/proxy/admission/fairness.go
+++ b/pkg/proxy/admission/fairness.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -107,13 +108,8 @@
 }
 
 func byTurn(a, b *waiter) int {
-	switch {
-	case !a.sameGroup(b):
+	if !a.sameGroup(b) {
 		return byDeadline(a, b)
-	case a.turn < b.turn:
-		return -1
-	case a.turn > b.turn:
-		return 1
 	}
-	return 0
+	return cmp.Compare(a.turn, b.turn)
 }
--- a/pkg/proxy/admission/isolation_test.go
+++ b/pkg/proxy/admission/isolation_test.go
@@ -38,7 +38,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := NewQueue(4)
 		occupy(t, q, 2)
-		time.AfterFunc(30*time.Millisecond, func() { q.Release("r", 0) })
+		time.AfterFunc(30*time.Millisecond, func() { finishOldest(q) })
 		end := q.Isolate(t.Context(), always)
 		assert.Assert(t, q.alone())
 		granted := waitForSlot(t, q)
--- a/pkg/proxy/admission/overload_test.go
+++ b/pkg/proxy/admission/overload_test.go
@@ -62,7 +62,7 @@
 		}
 		if q.Acquire(t.Context(), request) == "" {
 			time.Sleep(work)
-			q.Release("r", work)
+			q.Finish(request, work)
 			if time.Since(first) <= o.objective {
 				o.inTime.Add(1)
 			} else {
@@ -120,7 +120,7 @@
 			synctest.Wait()
 		}
 		for _, want := range []*attempt.Request{fresh, late, lessUrgent} {
-			q.Release("r", 0)
+			finishOldest(q)
 			assert.Assert(t, <-order == want)
 		}
 	})
--- a/pkg/proxy/admission/queue.go
+++ b/pkg/proxy/admission/queue.go
@@ -38,10 +38,7 @@
 type waiter struct {
 	request   *attempt.Request
 	class     cost.Class
-	inner     bool
-	priority  int
 	late      bool
-	deadline  time.Time   // of the call
 	waitUntil time.Time   // latest time at which a slot is granted
 	ready     chan string // receives the reason of a refusal, empty if a slot is granted
 	turn      float64     // service of its workspace before it is its turn
@@ -50,7 +47,8 @@
 // sameGroup reports whether the order of two calls depends on their workspaces and
 // deadlines only.
 func (w *waiter) sameGroup(other *waiter) bool {
-	return w.inner == other.inner && w.priority == other.priority && w.late == other.late
+	a, b := w.request, other.request
+	return a.Inner == b.Inner && a.Priority == b.Priority && w.late == other.late
 }
 
 // before defines the queue order: inner calls first, since refusing them wastes
@@ -59,16 +57,17 @@
 // overload they would otherwise take the slots in which new requests would be in
 // time, and most responses would be late. The rest is ordered by deadline.
 func (w *waiter) before(other *waiter) bool {
-	if w.inner != other.inner {
-		return w.inner
+	a, b := w.request, other.request
+	if a.Inner != b.Inner {
+		return a.Inner
 	}
-	if w.priority != other.priority {
-		return w.priority < other.priority
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
 	}
 	if w.late != other.late {
 		return other.late
 	}
-	return w.deadline.Before(other.deadline)
+	return a.Deadline.Before(b.Deadline)
 }
 
 // Queue assigns the slots of one target to calls and queues the calls that
@@ -120,8 +119,8 @@
 	}
 	maxWait := q.maxWait(request)
 	w := &waiter{
-		request: request, class: class, inner: request.Inner, priority: request.Priority, late: request.Late(q.workOf(request)),
-		deadline: request.Deadline, waitUntil: time.Now().Add(maxWait), ready: make(chan string, 1),
+		request: request, class: class, late: request.Late(q.workOf(request)), waitUntil: time.Now().Add(maxWait),
+		ready: make(chan string, 1),
 	}
 	q.waiting = append(q.waiting, w)
 	q.arrange(time.Now())
@@ -157,7 +156,7 @@
 	if granted := <-w.ready; granted != "" || ctx.Err() == nil {
 		return granted
 	}
-	q.finishLocked(q.indexOf(w.request), w.request.Route, 0)
+	q.finishLocked(w.request, 0)
 	return ReasonCallerGone
 }
 
--- a/pkg/proxy/admission/queue_test.go
+++ b/pkg/proxy/admission/queue_test.go
@@ -15,6 +15,14 @@
 	return &attempt.Request{Route: "r", Priority: priority, Objective: time.Second, Inner: inner, Deadline: time.Now().Add(deadline)}
 }
 
+// finishOldest frees the slot of the call that has run for the longest time.
+func finishOldest(q *Queue) {
+	q.mu.Lock()
+	oldest := q.running[0].request
+	q.mu.Unlock()
+	q.Finish(oldest, 0)
+}
+
 // TestAdmissionOrder guards against inner calls, calls with a higher priority
 // and calls with an earlier deadline waiting behind others.
 func TestAdmissionOrder(t *testing.T) {
@@ -41,7 +49,7 @@
 			synctest.Wait()
 		}
 		for _, want := range []string{"inner", "high priority", "earlier deadline", "late deadline"} {
-			q.Release("r", 0)
+			finishOldest(q)
 			assert.Equal(t, <-order, want)
 		}
 	})
@@ -59,7 +67,7 @@
 		started := time.Now()
 		assert.Equal(t, q.Acquire(t.Context(), newRequest(1, 2*time.Second, false)), ReasonQueueFull)
 		assert.Equal(t, time.Since(started), time.Duration(0))
-		time.AfterFunc(400*time.Millisecond, func() { q.Release("r", 0) })
+		time.AfterFunc(400*time.Millisecond, func() { finishOldest(q) })
 		assert.Equal(t, q.Acquire(t.Context(), newRequest(1, 2*time.Second, true)), "")
 	})
 }
@@ -77,9 +85,9 @@
 			go func() { done <- q.Acquire(ctx, newRequest(1, time.Second, false)) }()
 			synctest.Wait()
 			go cancel()
-			q.Release("r", 0)
+			finishOldest(q)
 			if <-done == "" {
-				q.Release("r", 0)
+				finishOldest(q)
 			}
 			synctest.Wait()
 			assert.Equal(t, q.busy, 0)
--- a/pkg/proxy/admission/rate.go
+++ b/pkg/proxy/admission/rate.go
@@ -43,21 +43,28 @@
 	if limit == before {
 		return before
 	}
-	burst := max(1, int(limit*rateBurst.Seconds()))
-	switch {
-	case limit == 0:
+	if limit == 0 {
 		q.rate = nil
-	case q.rate == nil:
-		q.rate = rate.NewLimiter(rate.Limit(limit), burst)
-	default:
-		q.rate.SetLimit(rate.Limit(limit))
-		q.rate.SetBurst(burst)
+	} else {
+		q.rate = withRate(q.rate, limit, rateBurst)
 	}
 	q.stopRateTimer()
 	q.grantLocked()
 	return before
 }
 
+// withRate returns a limiter after a change of its limit, a new one if it is nil. What the
+// limit allows within the time burst may be sent at once.
+func withRate(limiter *rate.Limiter, limit float64, burst time.Duration) *rate.Limiter {
+	requests := max(1, int(limit*burst.Seconds()))
+	if limiter == nil {
+		return rate.NewLimiter(rate.Limit(limit), requests)
+	}
+	limiter.SetLimit(rate.Limit(limit))
+	limiter.SetBurst(requests)
+	return limiter
+}
+
 // grantAfter schedules the next grant.
 func (q *Queue) grantAfter(wait time.Duration) {
 	if q.rateTimer != nil {
--- a/pkg/proxy/admission/rate_test.go
+++ b/pkg/proxy/admission/rate_test.go
@@ -22,14 +22,15 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	for time.Since(start) < duration {
 		go func() {
-			if q.Acquire(t.Context(), newRequest(1, 2*time.Second, false)) != "" {
+			request := newRequest(1, 2*time.Second, false)
+			if q.Acquire(t.Context(), request) != "" {
 				return
 			}
 			mu.Lock()
 			granted = append(granted, time.Since(start))
 			mu.Unlock()
 			time.Sleep(20 * time.Millisecond)
-			q.Release("r", 20*time.Millisecond)
+			q.Finish(request, 20*time.Millisecond)
 		}()
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(10*time.Millisecond)))
 	}
--- a/pkg/proxy/admission/work.go
+++ b/pkg/proxy/admission/work.go
@@ -35,23 +35,14 @@
 func (q *Queue) Finish(request *attempt.Request, ran time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.finishLocked(q.indexOf(request), request.Route, ran)
+	q.finishLocked(request, ran)
 }
 
-// Release is Finish for a caller that knows only the route of the request. It frees the
-// slot of the request of that route whose start fits best, the oldest one if ran is 0.
-func (q *Queue) Release(route string, ran time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.finishLocked(q.closestStart(route, ran), route, ran)
-}
-
-// finishLocked frees the slot of the running call with the given index, -1 if it is unknown.
-func (q *Queue) finishLocked(i int, route string, ran time.Duration) {
+func (q *Queue) finishLocked(request *attempt.Request, ran time.Duration) {
 	if ran > 0 {
-		q.recordRun(route, ran)
+		q.recordRun(request.Route, ran)
 	}
-	if i >= 0 {
+	if i := slices.IndexFunc(q.running, func(r running) bool { return r.request == request }); i >= 0 {
 		ended, now := q.running[i], time.Now()
 		q.costs.Observe(ended.class, ran, now)
 		q.shares.add(ended.request.Workspace, now.Sub(ended.started)-ended.charged, now)
@@ -71,29 +62,6 @@
 	}
 }
 
-func (q *Queue) indexOf(request *attempt.Request) int {
-	return slices.IndexFunc(q.running, func(r running) bool { return r.request == request })
-}
-
-// closestStart returns the index of the running call of a route that has run for about
-// the given time, the oldest call if there is none of the route, and -1 without any call.
-func (q *Queue) closestStart(route string, ran time.Duration) int {
-	best, now := min(0, len(q.running)-1), time.Now()
-	bestGap := time.Duration(math.MaxInt64)
-	for i, r := range q.running {
-		if r.request.Route != route {
-			continue
-		}
-		if ran == 0 {
-			return i
-		}
-		if gap := (now.Sub(r.started) - ran).Abs(); gap < bestGap {
-			best, bestGap = i, gap
-		}
-	}
-	return best
-}
-
 // restOf returns the expected rest of a run of a class that has taken the given time. It
 // is the average service time while too few runs of the class and its route are known.
 func (q *Queue) restOf(class cost.Class, elapsed time.Duration, now time.Time) time.Duration {
--- a/pkg/proxy/admission/work_test.go
+++ b/pkg/proxy/admission/work_test.go
@@ -61,7 +61,7 @@
 		assert.Equal(t, left.Busy, 2)
 		assert.Assert(t, left.Backlog < 260*time.Millisecond, "%v", left.Backlog)
 		q.Finish(second, 0)
-		q.Release("r", 0)
+		finishOldest(q)
 		assert.Equal(t, q.Load().Backlog, time.Duration(0))
 	})
 }
--- a/pkg/proxy/balance/cold_test.go
+++ b/pkg/proxy/balance/cold_test.go
@@ -45,7 +45,7 @@
 		result := &Result{Answered: true, Took: time.Millisecond, Ran: 50 * time.Millisecond}
 		if q.Acquire(t.Context(), request) == "" {
 			f.ran[e.Target]++
-			time.AfterFunc(result.Ran, func() { q.Release("r", result.Ran) })
+			time.AfterFunc(result.Ran, func() { q.Finish(request, result.Ran) })
 		} else {
 			result = &Result{Refused: true, QueueFull: true, Neutral: true, Took: time.Millisecond}
 			f.refused++
