Name reasons once, and merge twins of the explanations and the limits

What callers saw: nothing changes for them. Cause: the explanations of requests came with their own names for four reasons of the caller side, with a copy of the choice without a plan and with a third copy of a JSON response; the members of a limit counted the connected daemons by two copies of one condition. Evidence: the strings and conditions are equal. The check for no spare permits could not hold: from 1.5 expected requests on, at least two are asked for. Change: one name, one function or one condition each; the properties of a request are collected once for both choices of a target. Result: the tests of node, proxy, rollout and quota pass unchanged.

--- a/pkg/node/explain.go
+++ b/pkg/node/explain.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -49,15 +48,13 @@
 
 // serveExplanation is the HTTP handler of fleetview.ExplainPath.
 func (n *Node) serveExplanation(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
 	description, err := describeRequest(r.URL.Query())
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
 		failure := map[string]string{"kind": "bad_request", "message": err.Error()}
-		_ = json.NewEncoder(w).Encode(map[string]any{"error": failure}) // fails if the caller has left
+		writeJSON(w, http.StatusBadRequest, map[string]any{"error": failure})
 		return
 	}
 	explanation := n.explainer.Explain(description)
 	explanation.Daemon = n.settings.Name
-	_ = json.NewEncoder(w).Encode(explanation)
+	writeJSON(w, http.StatusOK, explanation)
 }
--- a/pkg/node/view.go
+++ b/pkg/node/view.go
@@ -67,8 +67,7 @@
 
 // serveView is the HTTP handler of fleetview.Path.
 func (n *Node) serveView(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(n.view()) // fails if the caller has left
+	writeJSON(w, http.StatusOK, n.view())
 }
 
 // workspaceView returns the workspaces of a configuration in force, nil before the first.
@@ -88,6 +87,11 @@
 
 // serveWorkspaces is the HTTP handler of fleetview.WorkspacesPath.
 func (n *Node) serveWorkspaces(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, workspaceView(n.settings.Name, n.config.Load()))
+}
+
+func writeJSON(w http.ResponseWriter, status int, content any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(workspaceView(n.settings.Name, n.config.Load())) // fails if the caller has left
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(content) // fails if the caller has left
 }
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -127,13 +127,13 @@
 	credential := i.Names.takeCredential(r.Header)
 	table := i.Config.Load()
 	if table == nil {
-		i.refuse(w, id, "no_config", noConfigRetryAfter, received)
+		i.refuse(w, id, reasonNoConfig, noConfigRetryAfter, received)
 		return
 	}
 	if i.Refusing() {
 		// A request that runs at the local target may need its calls to end.
 		if inner, _ := i.Gate.FindParent(id); !inner {
-			i.refuse(w, id, "stopping", defaultRetryAfter, received)
+			i.refuse(w, id, reasonStopping, defaultRetryAfter, received)
 			return
 		}
 	}
@@ -145,7 +145,7 @@
 		return
 	}
 	if route == nil {
-		i.reject(w, r, http.StatusNotFound, "no_route", received)
+		i.reject(w, r, http.StatusNotFound, reasonNoRoute, received)
 		return
 	}
 	if id == "" {
@@ -286,10 +286,11 @@
 	waitUntil := s.call.Received.Add(time.Duration(float64(s.call.Objective) * targetWaitShare))
 	for {
 		endpoints := i.Versions.Choose(s.call.Service, i.Directory.Endpoints(s.call.Service))
-		e := i.Balancer.Choose(s.call.request(), endpoints, s.attempted)
+		request := s.call.request()
+		e := i.Balancer.Choose(request, endpoints, s.attempted)
 		if e == nil && s.sentCount > 0 && s.refusalCount > 0 {
 			// Targets that were full before the last attempt may have free slots now.
-			e = i.Balancer.Choose(s.call.request(), endpoints, s.contacted)
+			e = i.Balancer.Choose(request, endpoints, s.contacted)
 		}
 		if e != nil {
 			s.call.Target, s.call.Version, s.call.TargetLimit = e.Target, e.Version, i.Balancer.RateLimit(e.Target)
--- a/pkg/proxy/limiter.go
+++ b/pkg/proxy/limiter.go
@@ -36,7 +36,7 @@
 		s.finish("caller_gone", 0)
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &limited):
-		s.finish("limited", http.StatusTooManyRequests)
+		s.finish(reasonLimited, http.StatusTooManyRequests)
 		writeRefusal(w, http.StatusTooManyRequests, limited.RetryAfter)
 	default:
 		s.finish("unaccounted", http.StatusServiceUnavailable)
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -215,13 +215,18 @@
 		if member.Older && member.Live && !member.Retired { // one that is leaving grants nothing
 			return false
 		}
-		if member.Name == m.self || member.HeartbeatAge <= freshAfter {
+		if m.connected(&member) {
 			connected++
 		}
 	}
 	return connected*2 > max(expected, len(m.known))
 }
 
+// connected reports whether the heartbeat of a member is fresh.
+func (m *Members) connected(member *Member) bool {
+	return member.Name == m.self || member.HeartbeatAge <= freshAfter
+}
+
 func (m *Members) observeShare(now clock.Instant, members []Member) {
 	connected := 0
 	for _, member := range members {
@@ -230,7 +235,7 @@
 			continue
 		}
 		m.known[member.Name] = now
-		if member.Name == m.self || member.HeartbeatAge <= freshAfter {
+		if m.connected(&member) {
 			connected++
 		}
 	}
--- a/pkg/quota/stock.go
+++ b/pkg/quota/stock.go
@@ -291,7 +291,7 @@
 
 // refill asks for permits before the next request needs one.
 func (s *Stock) refill(now clock.Instant, workspace string, h *holding) []Ask {
-	if h.demand*h.validity.Seconds() < minRefill || h.spare() == 0 || now < h.refillAt || h.stocked(now) || h.ask != nil && h.ask.open {
+	if h.demand*h.validity.Seconds() < minRefill || now < h.refillAt || h.stocked(now) || h.ask != nil && h.ask.open {
 		return nil
 	}
 	return s.ask(now, workspace, h)
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -123,7 +123,7 @@
 func (f *Follower) Choose(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
 	p := f.plan(service)
 	if p == nil {
-		return f.chooseWithoutPlan(service, endpoints)
+		return f.withoutPlan(service, endpoints, true)
 	}
 	rolledBack := f.WasRolledBack(service, p.Order)
 	wantNew := p.State == Active && !rolledBack && f.Random() < p.Share
@@ -134,7 +134,7 @@
 func (f *Follower) Explain(service string, endpoints []*balance.Endpoint) []proxy.VersionOption {
 	p := f.plan(service)
 	if p == nil {
-		return []proxy.VersionOption{{Share: 1, Endpoints: f.withoutPlan(service, endpoints)}}
+		return []proxy.VersionOption{{Share: 1, Endpoints: f.withoutPlan(service, endpoints, false)}}
 	}
 	rolledBack := f.WasRolledBack(service, p.Order)
 	old := p.choose(endpoints, rolledBack, false)
@@ -183,28 +183,20 @@
 	return slices.ContainsFunc(endpoints, func(e *balance.Endpoint) bool { return e.Available })
 }
 
-// chooseWithoutPlan returns the endpoints of the version in use, and remembers it if there
-// is a choice. Targets of a version for which the operator has placed no order get no
+// withoutPlan returns the endpoints of the version in use, and remembers it on request if
+// there is a choice. Targets of a version for which the operator has placed no order get no
 // requests.
-func (f *Follower) chooseWithoutPlan(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
+func (f *Follower) withoutPlan(service string, endpoints []*balance.Endpoint, remember bool) []*balance.Endpoint {
 	if !haveVersions(endpoints) {
 		return endpoints
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	version := majority(f.versionInUse[service], endpoints)
-	f.versionInUse[service] = version
-	return ofVersion(version, endpoints)
-}
-
-// withoutPlan returns what chooseWithoutPlan would return.
-func (f *Follower) withoutPlan(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
-	if !haveVersions(endpoints) {
-		return endpoints
+	if remember {
+		f.versionInUse[service] = version
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return ofVersion(majority(f.versionInUse[service], endpoints), endpoints)
+	return ofVersion(version, endpoints)
 }
 
 // haveVersions reports whether the endpoints have different versions.
