--- a/pkg/ctl/fleet_test.go
+++ b/pkg/ctl/fleet_test.go
@@ -14,6 +14,16 @@
 	"nutmegstand.example/nutmegstand/pkg/fleetview"
 )
 
+// serveView serves a view at a path like the metrics address of a daemon, and returns the
+// address.
+func serveView(t *testing.T, path string, view any) (address string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(view) })
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // TestFleet guards against a fleet view that needs a token, or that does not show a
 // silent daemon or an evacuation in force.
 func TestFleet(t *testing.T) {
@@ -26,12 +36,7 @@
 	}}
 	view.Evacuations = []fleetview.Evacuation{{Zone: "z", Since: time.Date(2030, 4, 5, 6, 7, 8, 0, time.UTC)}}
 	view.Zones = fleetview.Summarize(view.Members)
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+fleetview.Path, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(view) })
-	server := httptest.NewServer(mux)
-	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://")
-
+	address := serveView(t, fleetview.Path, view)
 	var out, errs bytes.Buffer
 	assert.Equal(t, Run([]string{"fleet", "-server", address, "-members"}, &out, &errs), exitOK, errs.String())
 	for _, want := range []string{"2 daemons; refused at its target: queue_full 3", "4.2s", "vm-2", "t-1", "40ms", "zone z is evacuated since 2030-04-05T06:07:08Z"} {
--- a/pkg/ctl/workspaces_test.go
+++ b/pkg/ctl/workspaces_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -20,12 +18,7 @@
 	view := fleetview.Workspaces{Daemon: "vm-1", ConfigVersion: 9, Workspaces: []fleetview.Workspace{
 		{Name: "acme", Rate: 12.5, Burst: 30, Priority: &highest, Keys: 3}, {Name: "zeta", Keys: 1},
 	}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+fleetview.WorkspacesPath, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(view) })
-	server := httptest.NewServer(mux)
-	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://")
-
+	address := serveView(t, fleetview.WorkspacesPath, view)
 	var out, errs bytes.Buffer
 	assert.Equal(t, Run([]string{"workspaces", "-server", address}, &out, &errs), exitOK, errs.String())
 	var rows [][]string
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -86,13 +86,6 @@
 	return changes
 }
 
-// InForce reports whether a domain is being evacuated.
-func (s *State) InForce(domain string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.domains[domain].inForce
-}
-
 // Since returns the domains that are being evacuated, and since when.
 func (s *State) Since() map[string]time.Time {
 	s.mu.Lock()
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -30,6 +30,11 @@
 	return all
 }
 
+func evacuated(s *State, domain string) bool {
+	inForce, _ := Domain{s, domain}.Status()
+	return inForce
+}
+
 // TestStaleFacts guards against a late fact that restores an evacuation that has ended, or
 // ends one that began later.
 func TestStaleFacts(t *testing.T) {
@@ -41,17 +46,17 @@
 		return []fleet.Fact{w.fact("z", time.UnixMilli(revision))}
 	}
 	assert.DeepEqual(t, s.Apply(at(5, "z")), []Change{{"z", true, 5}})
-	assert.Assert(t, s.InForce("z") && !s.InForce("y"))
+	assert.Assert(t, evacuated(&s, "z") && !evacuated(&s, "y"))
 	assert.Equal(t, s.Since()["z"], time.UnixMilli(5))
 	assert.Equal(t, len(s.Apply(at(4))), 0)
-	assert.Assert(t, s.InForce("z"), "ended by an older state")
+	assert.Assert(t, evacuated(&s, "z"), "ended by an older state")
 	c.Advance(time.Second)
 	assert.DeepEqual(t, s.Apply(at(7)), []Change{{"z", false, 7}})
 	inForce, endedAt := Domain{&s, "z"}.Status()
 	assert.Assert(t, !inForce)
 	assert.Equal(t, endedAt, c.Now())
 	assert.Equal(t, len(s.Apply(at(6, "z"))), 0)
-	assert.Assert(t, !s.InForce("z"), "restored by an older state")
+	assert.Assert(t, !evacuated(&s, "z"), "restored by an older state")
 	assert.Equal(t, len(s.Since()), 0)
 	assert.Equal(t, len(s.Apply([]fleet.Fact{{Key: "order/z", Rank: 99}, {Key: factPrefix + "z", Rank: 99, Payload: []byte("[")}})), 0)
 }
@@ -68,7 +73,7 @@
 	table.set(other.Correct(table.list(), time.Now()))
 	s := State{Clock: &clock.Manual{}}
 	s.Apply(table.list())
-	assert.Assert(t, !s.InForce("z"))
+	assert.Assert(t, !evacuated(&s, "z"))
 }
 
 // TestFactsFollowTheStore guards against facts that differ from the operator's entries after
@@ -118,8 +123,8 @@
 		s := State{Clock: &clock.Manual{}}
 		s.Apply(table.list())
 		for _, domain := range domains {
-			if s.InForce(domain) != history[len(history)-1][domain] {
-				t.Fatalf("%s: in force %v, entries %v", domain, s.InForce(domain), history)
+			if evacuated(&s, domain) != history[len(history)-1][domain] {
+				t.Fatalf("%s: in force %v, entries %v", domain, evacuated(&s, domain), history)
 			}
 		}
 		if again := last.Correct(table.list(), time.Now()); len(again) > 0 {
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -183,6 +183,16 @@
 	}
 }
 
+// holdAll makes every target hold its requests until release is called.
+func (m *mesh) holdAll() (release func()) {
+	released := make(chan struct{})
+	m.handleAll(func(r *proxytest.Request) bool {
+		<-released
+		return proxytest.OK("done")(r)
+	})
+	return func() { close(released) }
+}
+
 // requestCount returns the number of requests that reached targets.
 func (m *mesh) requestCount() int {
 	n := 0
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -355,18 +355,14 @@
 // it has slots.
 func TestSlotLimit(t *testing.T) {
 	m := newMesh(t, 1)
-	release := make(chan struct{})
-	m.handleAll(func(r *proxytest.Request) bool {
-		<-release
-		return proxytest.OK("done")(r)
-	})
+	release := m.holdAll()
 	done := make(chan result, 8)
 	for range 6 {
 		go func() { done <- m.get("/look/1") }()
 	}
 	time.Sleep(100 * time.Millisecond)
 	assert.Assert(t, m.requestCount() <= 2, "%d requests at a target with 2 slots", m.requestCount())
-	close(release)
+	release()
 	for range 6 {
 		assert.Assert(t, (<-done).status != 0)
 	}
--- a/pkg/proxy/workspace_test.go
+++ b/pkg/proxy/workspace_test.go
@@ -145,34 +145,23 @@
 // withdrawn while it waited for a slot.
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	m := newKeyMesh(t, 1)
-	release := make(chan struct{})
-	m.handleAll(func(r *proxytest.Request) bool {
-		<-release
-		return proxytest.OK("done")(r)
-	})
+	release := m.holdAll()
 	results := make(chan result, 3)
 	for range 2 { // the slots of the target
 		go func() { results <- m.sendKeys("/look/1", "k2") }()
 	}
-	waitFor(t, func() bool { return m.requestCount() == 2 })
+	eventually(t, "the slots are in use", func() bool { return m.requestCount() == 2 })
 	queued := make(chan result)
 	go func() { queued <- m.sendKeys("/look/1", "k1") }()
-	waitFor(t, func() bool { return m.targetSides[0].gate.Load().Queued == 1 })
+	eventually(t, "the request waits", func() bool { return m.targetSides[0].gate.Load().Queued == 1 })
 	m.config.Advance(keyConfig(3, map[string]string{"other": "k2"}))
-	close(release)
+	release()
 	assert.Equal(t, (<-queued).status, http.StatusUnauthorized)
 	assert.Equal(t, (<-results).status, http.StatusOK)
 	assert.Equal(t, (<-results).status, http.StatusOK)
 	assert.Equal(t, m.requestCount(), 2)
 }
 
-func waitFor(t *testing.T, check func() bool) {
-	t.Helper()
-	for end := time.Now().Add(2 * time.Second); !check(); time.Sleep(time.Millisecond) {
-		assert.Assert(t, time.Now().Before(end), "condition not met")
-	}
-}
-
 // TestKeyAtNewerTargetSide guards against a target side that runs a request whose key its
 // newer configuration withdrew or moved, and against a caller side that then refuses it
 // with the wrong status.
