Require evidence before a target is used without stored departures

Cause: the absence of a reported departure counted as evidence that there was none, although neither the store nor any peer that outlived the failure could report one. A late heartbeat of the target was then enough.

Evidence: register_failed repeated in the log of the target's daemon, then requests to it from 5 s after the start on. test/platform.TestDepartureUnknownToAll on the code before: "8 (int) != 3 (before int): used although it has left".

Change: without the store and without older peers, a target becomes available by its own heartbeats, of which a target that has left sends none: at least two with rising sequence numbers, the last of them more than 5 s after the start of the daemon, later than a heartbeat is delayed. The event target_released names the evidence; no line told it before.

A target in use waits for at most one heartbeat interval longer.

--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -41,9 +41,9 @@
 	// daemon is removed. It is longer than any partition or pause after which a
 	// daemon is expected to return.
 	entryMaxAge = 30 * time.Second
-	// maxReleaseDelay is the time after the start from which the target is available even if
-	// neither the store nor older peers could tell which targets have left.
-	maxReleaseDelay = 5 * time.Second
+	// maxHeartbeatDelay is the longest time for which a heartbeat may be in transit. Later
+	// after its start, a daemon gets no heartbeats of targets that left before it.
+	maxHeartbeatDelay = 5 * time.Second
 	// olderPeerAge is the difference in start times from which on a peer counts as
 	// older. Daemons that were lost together start within less.
 	olderPeerAge = 3 * time.Second
@@ -67,7 +67,7 @@
 		peers, err := n.tryRegister(ctx)
 		if err == nil {
 			n.registered.Store(true)
-			n.releaseTarget()
+			n.releaseTarget(releasedByStore)
 			eventRegistered.Log(n.logger, zap.Int("peers", peers))
 			return
 		}
@@ -80,9 +80,17 @@
 	}
 }
 
+// releaseReason is the evidence on which the target was made available.
+type releaseReason string
+
+const (
+	releasedByStore      releaseReason = "stored departures" // the store reported the departures
+	releasedByPeers      releaseReason = "older peers"       // peers that outlived the failure reported them
+	releasedByHeartbeats releaseReason = "heartbeats"        // the target goes on sending heartbeats
+)
+
 // releaseUnregistered makes the target available to a daemon that could not read the
-// stored departures. Its peers report them if most of them outlived the failure;
-// otherwise the daemon waits longer for the store.
+// stored departures.
 func (n *Node) releaseUnregistered(ctx context.Context) {
 	check := time.NewTicker(roleCheckInterval)
 	defer check.Stop()
@@ -92,12 +100,27 @@
 			return
 		case <-check.C:
 		}
-		age := n.clock.Now().Sub(n.startedAt)
-		if n.registered.Load() || age > maxReleaseDelay || age > registerTimeout && mostAreOlder(n.table.Live(), n.table.Local().Incarnation) {
-			n.releaseTarget()
+		if n.registered.Load() {
 			return
 		}
+		if reason := n.releaseEvidence(); reason != "" {
+			n.releaseTarget(reason)
+			return
+		}
+	}
+}
+
+// releaseEvidence returns the evidence of an unregistered daemon that its target has not
+// left, or an empty reason. The absence of a reported departure is none: if all daemons
+// were lost and the store rejects this one, nobody can report it.
+func (n *Node) releaseEvidence() releaseReason {
+	switch age := n.clock.Now().Sub(n.startedAt); {
+	case age > registerTimeout && mostAreOlder(n.table.Live(), n.table.Local().Incarnation):
+		return releasedByPeers
+	case n.target.sentHeartbeatsSince(n.startedAt.Add(maxHeartbeatDelay)):
+		return releasedByHeartbeats
 	}
+	return ""
 }
 
 // mostAreOlder reports whether most of the live peers have run since well before a
--- a/pkg/node/evacuation.go
+++ b/pkg/node/evacuation.go
@@ -50,7 +50,9 @@
 
 // releaseTarget makes the target available. The evacuations that the peers reported are in
 // force before.
-func (n *Node) releaseTarget() {
+func (n *Node) releaseTarget(reason releaseReason) {
 	n.applyEvacuations(n.table.Facts())
-	n.target.release()
+	if n.target.release() {
+		eventTargetReleased.Log(n.logger, zap.String("reason", string(reason)), zap.Duration("age", n.clock.Now().Sub(n.startedAt)))
+	}
 }
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -63,6 +63,8 @@
 		"The evacuation of a failure domain is in force, or has ended; rank is the store's revision at which that was known.")
 	eventDepartureNotSaved = telemetry.NewEvent(2226, "departure_not_saved", zapcore.WarnLevel,
 		"The departure of a target could not be stored; it is retried, and the target is told to ask again.")
+	eventTargetReleased = telemetry.NewEvent(2228, "target_released", zapcore.InfoLevel,
+		"The target may be used: the departures acknowledged by earlier processes are known, or its heartbeats show that it has not left. The reason names the evidence.")
 	eventWorkspacesChanged = telemetry.NewEvent(2240, "workspaces_changed", zapcore.InfoLevel,
 		"A newer configuration changed workspaces or their keys; the event has the numbers of changed and removed workspaces, and of all workspaces and keys.")
 )
--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -33,8 +33,9 @@
 	logger    *zap.Logger
 
 	mu               sync.Mutex
-	released         bool // the peers had time to report the targets that have left
+	released         bool // there is evidence that the target has not left
 	current          *Announcement
+	heartbeats       int              // of the current target, without repeated and late ones
 	left             map[string]int64 // start times of targets that have left, by ID
 	leaving          bool
 	silent           bool
@@ -78,6 +79,11 @@
 	t.lastAnnouncement, t.silent = t.clock.Now(), false
 	first := t.current == nil || !t.released
 	changed := first || t.current.ID != a.ID || t.current.StartMS != a.StartMS || t.current.Leaving != a.Leaving || t.current.Slots != a.Slots || t.current.Version != a.Version
+	if t.current != nil && t.current.ID == a.ID && t.current.StartMS == a.StartMS {
+		t.heartbeats++
+	} else {
+		t.heartbeats = 1
+	}
 	t.current = a
 	if changed {
 		eventTargetAnnounced.Log(t.logger, zap.String("target", a.ID), zap.String("version", a.Version), zap.Int("slots", a.Slots),
@@ -122,18 +128,28 @@
 	return ok && a.StartMS <= startMS
 }
 
-// release makes the target available to the gate. It is called after the peers had
-// time to report the targets that have left.
-func (t *targetTracker) release() {
+// release makes the target available to the gate. It is called when the departures of
+// earlier targets are known or the target has proved to be in use. It reports false if
+// the target was available before.
+func (t *targetTracker) release() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.released {
-		return
+		return false
 	}
 	t.released = true
 	if t.current != nil {
 		t.apply(t.current, true)
 	}
+	return true
+}
+
+// sentHeartbeatsSince reports whether the target has sent a heartbeat that arrived after
+// an instant and was not the first one. A single heartbeat may have been delayed.
+func (t *targetTracker) sentHeartbeatsSince(instant clock.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heartbeats > 1 && t.lastAnnouncement > instant
 }
 
 // rejectionReason returns why an announcement does not match the local target, or an
--- a/pkg/node/target_test.go
+++ b/pkg/node/target_test.go
@@ -175,3 +175,37 @@
 	assert.Assert(t, tracker.state.Target.Leaving)
 	assert.Equal(t, hear(0), int64(0))
 }
+
+// TestHeartbeatsAsEvidence guards against a target whose late heartbeats, sent before its
+// acknowledged departure, count as evidence that it has not left.
+func TestHeartbeatsAsEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after []*Announcement // received before and after the longest delay of a heartbeat
+		want          bool
+	}{
+		"none":                {nil, nil, false},
+		"late ones only":      {[]*Announcement{announcement("t", 5, 7), announcement("t", 5, 8)}, nil, false},
+		"first one delayed":   {nil, []*Announcement{announcement("t", 5, 7)}, false},
+		"repeated":            {[]*Announcement{announcement("t", 5, 7)}, []*Announcement{announcement("t", 5, 7)}, false},
+		"out of order":        {[]*Announcement{announcement("t", 5, 7)}, []*Announcement{announcement("t", 5, 6)}, false},
+		"another target":      {[]*Announcement{announcement("t", 5, 7)}, []*Announcement{announcement("u", 9, 1)}, false},
+		"another start":       {[]*Announcement{announcement("t", 5, 7)}, []*Announcement{announcement("t", 9, 1)}, false},
+		"regular ones":        {[]*Announcement{announcement("t", 5, 7)}, []*Announcement{announcement("t", 5, 8)}, true},
+		"started in the wait": {nil, []*Announcement{announcement("t", 5, 1), announcement("t", 5, 2)}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTrackerTest()
+			manual := tracker.targetTracker.clock.(*clock.Manual)
+			end := manual.Now().Add(maxHeartbeatDelay)
+			manual.Advance(time.Second)
+			for _, a := range c.before {
+				tracker.HandleAnnouncement(a)
+			}
+			manual.Advance(maxHeartbeatDelay)
+			for _, a := range c.after {
+				tracker.HandleAnnouncement(a)
+			}
+			assert.Equal(t, tracker.sentHeartbeatsSince(end), c.want)
+		})
+	}
+}
--- a/test/platform/departure_test.go
+++ b/test/platform/departure_test.go
@@ -117,3 +117,34 @@
 	cut.get("/look/1")
 	assert.Equal(t, requestCount(cut), before, "used although it has left")
 }
+
+// TestDepartureUnknownToAll guards against a target that has left and is used again,
+// because nobody could report its departure for some seconds after all daemons were lost,
+// and against a target that is not used in this time although its heartbeats go on.
+func TestDepartureUnknownToAll(t *testing.T) {
+	const observation = 8 * time.Second // longer than any delay of a heartbeat after the restart
+	d := newDeployment(t, 3)
+	left := d.machines[0]
+	left.setState("")
+	assert.Equal(t, left.remove(), http.StatusOK)
+	d.store.Inject(func(r *http.Request) standin.Fault {
+		if strings.Contains(r.URL.Path, "nutmegstand-daemons") {
+			return standin.Unavailable
+		}
+		return standin.NoFault
+	})
+	d.restartAll()
+	restarted := time.Now()
+	eventually(t, "the late heartbeat is answered", recoveryTimeout, func() bool { return left.sendHeartbeat("ready") == http.StatusOK })
+	before, served := requestCount(left), make(map[*machine]bool)
+	for time.Since(restarted) < observation {
+		for _, m := range d.machines {
+			served[m] = m.get("/look/1") == http.StatusOK
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, requestCount(left), before, "used although it has left")
+	for _, m := range d.machines[1:] {
+		assert.Assert(t, served[m], "the target of %s is not used although its heartbeats go on", m.settings.Name)
+	}
+}
