Derive durations from the bounds of the deployment as numbers

Cause: the settings template made milliseconds by appending zeros to the text of a number, so that 6.5 became 6.5000 ms. The window of retries was made in the same way, and a memory limit with a fraction kept the daemon from starting. A reload did not apply the bounds.

LoadSettings applies the bounds before its check, so a value that neither states is still an error.

--- a/cmd/nutmegnode/main.go
+++ b/cmd/nutmegnode/main.go
@@ -17,16 +17,14 @@
 }
 
 func load(file string) (*service.Program, error) {
-	s, err := node.LoadSettings(file)
+	s, err := node.LoadSettings(file, platform.ApplyBounds)
 	if err != nil {
 		return nil, err
 	}
-	if err := platform.ApplyBounds(s); err != nil {
-		return nil, err
-	}
 	objects := platform.NewObjects(s.Store)
 	p := node.Platform{
 		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
+		ApplyBounds: platform.ApplyBounds,
 	}
 	return &service.Program{
 		MemoryLimit: s.RuntimeMemoryLimit(), GCPercent: s.GCPercent, Level: zapcore.InfoLevel,
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -74,7 +74,7 @@
 // Reload applies the settings that can change at run time: retries, drain period,
 // stop grace and memory limit. All others keep their values from the start.
 func (n *Node) Reload(file string) {
-	s, err := LoadSettings(file)
+	s, err := LoadSettings(file, n.platform.ApplyBounds)
 	if err != nil {
 		eventReloadFailed.Log(n.logger, zap.Error(err))
 		return
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -75,4 +75,6 @@
 	Operator Operator
 	Store    store.Store
 	Edge     Edge
+	// ApplyBounds completes settings by the bounds that they contain. It may be nil.
+	ApplyBounds func(*Settings) error
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// bytesPerMB is the number of bytes in a megabyte.
+const bytesPerMB = 1e6
+
 // Milliseconds is a duration in milliseconds, as written in settings.
 type Milliseconds float64
 
@@ -64,9 +67,10 @@
 	Evacuation       Milliseconds `json:"evacuationMS,omitempty"`
 	Retries          Retries      `json:"retries"`
 	MemoryLimitBytes int64        `json:"memoryLimitBytes"`
-	GCPercent        int          `json:"gcPercent"` // heap growth between collections in percent (GOGC), 0 for the default of the Go runtime
-	LinkMbps         float64      `json:"linkMbps"`  // link of the machine, 0 if unknown
-	Cores            float64      `json:"cores"`     // CPU limit of the daemon in cores, 0 if unknown
+	MemoryLimitMB    float64      `json:"memoryLimitMB,omitempty"` // in 10^6 bytes, in place of MemoryLimitBytes
+	GCPercent        int          `json:"gcPercent"`               // heap growth between collections in percent (GOGC), 0 for the default of the Go runtime
+	LinkMbps         float64      `json:"linkMbps"`                // link of the machine, 0 if unknown
+	Cores            float64      `json:"cores"`                   // CPU limit of the daemon in cores, 0 if unknown
 	// Bounds has the bounds of the deployment in the words of its platform, which the
 	// adapter of the platform applies to the other fields.
 	Bounds json.RawMessage `json:"bounds,omitempty"`
@@ -86,8 +90,9 @@
 // Unwrap returns the cause.
 func (e *SettingsError) Unwrap() error { return e.Cause }
 
-// LoadSettings reads and checks a settings file.
-func LoadSettings(file string) (*Settings, error) {
+// LoadSettings reads and checks a settings file. applyBounds, if not nil, is called before
+// the check; see Platform.
+func LoadSettings(file string, applyBounds func(*Settings) error) (*Settings, error) {
 	content, err := os.ReadFile(file)
 	if err != nil {
 		return nil, &SettingsError{File: file, Cause: err}
@@ -98,6 +103,14 @@
 	if err := decoder.Decode(s); err != nil {
 		return nil, &SettingsError{File: file, Cause: err}
 	}
+	if s.MemoryLimitBytes == 0 {
+		s.MemoryLimitBytes = int64(s.MemoryLimitMB * bytesPerMB)
+	}
+	if applyBounds != nil {
+		if err := applyBounds(s); err != nil {
+			return nil, &SettingsError{File: file, Cause: err}
+		}
+	}
 	if err := s.Check(); err != nil {
 		return nil, &SettingsError{File: file, Cause: err}
 	}
@@ -152,6 +165,9 @@
 	if s.MemoryLimitBytes < 0 {
 		add("memoryLimitBytes", s.MemoryLimitBytes, "0 for no limit, or a positive number of bytes")
 	}
+	if s.MemoryLimitMB < 0 {
+		add("memoryLimitMB", s.MemoryLimitMB, "0 for no limit, or a positive number of megabytes")
+	}
 	s.WorkspaceLimits.check(add)
 	s.Limits.check(add)
 	return errors.Join(problems...)
--- a/pkg/node/settings_test.go
+++ b/pkg/node/settings_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
-	return LoadSettings(file)
+	return LoadSettings(file, nil)
 }
 
 // TestEvacuationSetting guards against a deployment without evacuations that watches them,
--- a/pkg/node/workspacelimits_test.go
+++ b/pkg/node/workspacelimits_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(validSettings, "LIMITS", limits, 1)), 0o600))
-	return LoadSettings(file)
+	return LoadSettings(file, nil)
 }
 
 // TestWorkspaceLimitSettings guards against bounds for workspaces that cannot be held,
