Replace a controller that the store rejects, and withhold unplanned versions

Cause, two faults that met. Only the calls of watchers decided whether the store rejects a daemon, so a controller that does not watch kept its role while each of its own calls failed. And the plan of an earlier order was applied to the next one: it forbids its own target version only, so the new one counted as an old one until a controller planned its order.

Change: failed calls of the controller count in the health of the store, so that the next daemon of the ranking takes over after two of them. An order without a plan of its own withholds its target version, on the caller side and at the gate; a plan records the revision of its order, so that an outdated order changes nothing. Refresh is serialized: of two at once, the one with the older facts could end last.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -184,7 +184,7 @@
 	n.recorder = rollout.NewRecorder(n.moves)
 	n.collector = rollout.NewCollector(n.clock)
 	n.controller = rollout.NewController(rollout.ControllerOptions{
-		Table: n.table, Follower: n.moves, Collector: n.collector, Records: records{n.platform}, Clock: n.clock,
+		Table: n.table, Follower: n.moves, Collector: n.collector, Records: records{n.platform, n.store}, Clock: n.clock,
 		Tasks: n.tasks, Logger: n.logger,
 		SetFact: func(key string, rank uint64, payload []byte) bool {
 			set := n.fleet.SetFact(key, rank, payload)
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -267,6 +267,16 @@
 	return h.failures < storeFailureThreshold
 }
 
+// observe counts the result of a call that is not repeated by a watcher. Any response of
+// the store counts as a success.
+func (h *storeHealth) observe(err error) {
+	if store.IsUnavailable(err) || store.IsOutcomeUnknown(err) {
+		h.failed(err)
+	} else {
+		h.succeeded()
+	}
+}
+
 func (h *storeHealth) succeeded() {
 	h.mu.Lock()
 	failures := h.failures
--- a/pkg/rollout/events.go
+++ b/pkg/rollout/events.go
@@ -25,6 +25,8 @@
 		"This daemon is no longer the controller: another daemon has the role, this daemon's store operations fail, or no order is open.")
 	eventClosingWaits = telemetry.NewEvent(2108, "closing_waits", zapcore.InfoLevel,
 		"A move cannot be completed until the daemon confirms that no request is in flight at an old target.")
+	eventOrderWithoutPlan = telemetry.NewEvent(2110, "order_without_plan", zapcore.InfoLevel,
+		"An order has no plan yet. Its target version gets no requests until a controller publishes one, unless the operator was told that the move is completed.")
 	eventReportRejected = telemetry.NewEvent(2109, "report_rejected", zapcore.WarnLevel,
 		"A report of evidence from a peer daemon could not be decoded.")
 )
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -20,6 +20,12 @@
 	rank uint64
 }
 
+// rankedOrder is an order with the rank of its fact.
+type rankedOrder struct {
+	*Order
+	rank uint64
+}
+
 // Follower holds the plans in force for all services and chooses the targets of
 // requests accordingly.
 type Follower struct {
@@ -29,6 +35,12 @@
 
 	logger *zap.Logger
 	plans  atomic.Pointer[map[string]*rankedPlan]
+	// unplanned has, by service, the plans that apply to orders for which no controller
+	// has published a plan.
+	unplanned atomic.Pointer[map[string]*Plan]
+
+	refreshing sync.Mutex             // serializes Refresh
+	orders     map[string]rankedOrder // by service, used by Refresh only
 
 	mu           sync.Mutex
 	versionInUse map[string]string   // by service, for services without a plan
@@ -43,14 +55,22 @@
 
 // NewFollower returns a follower without plans.
 func NewFollower(logger *zap.Logger) *Follower {
-	f := &Follower{Random: rand.Float64, logger: logger, versionInUse: make(map[string]string), rolledBack: make(map[string][]string)}
+	f := &Follower{Random: rand.Float64, logger: logger, orders: make(map[string]rankedOrder), versionInUse: make(map[string]string), rolledBack: make(map[string][]string)}
 	f.plans.Store(&map[string]*rankedPlan{})
+	f.unplanned.Store(&map[string]*Plan{})
 	return f
 }
 
-// Refresh applies the plans among the facts of the fleet that are newer than the
-// current ones.
+// Refresh applies the plans and orders among the facts of the fleet that are newer than
+// the current ones.
 func (f *Follower) Refresh(facts []fleet.Fact) {
+	f.refreshing.Lock()
+	defer f.refreshing.Unlock()
+	f.refreshPlans(facts)
+	f.refreshOrders(facts)
+}
+
+func (f *Follower) refreshPlans(facts []fleet.Fact) {
 	current := *f.plans.Load()
 	next := make(map[string]*rankedPlan, len(current))
 	changed := false
@@ -80,6 +100,55 @@
 	}
 }
 
+// refreshOrders applies the orders and derives the plans of those that have none.
+func (f *Follower) refreshOrders(facts []fleet.Fact) {
+	for _, fact := range facts {
+		service, ok := serviceOfOrder(fact.Key)
+		if !ok || f.orders[service].rank >= fact.Rank {
+			continue
+		}
+		order, err := Decode[Order](fact.Key, fact.Payload)
+		if err != nil {
+			eventPlanRejected.Log(f.logger, zap.Error(err))
+			continue
+		}
+		f.orders[service] = rankedOrder{order, fact.Rank}
+	}
+	before, next := *f.unplanned.Load(), make(map[string]*Plan)
+	for service, order := range f.orders {
+		plan := unplanned(order.Order, f.plan(service))
+		if plan == nil {
+			continue
+		}
+		next[service] = plan
+		if old := before[service]; old == nil || old.Order != plan.Order || old.State != plan.State {
+			eventOrderWithoutPlan.Log(f.logger, zap.String("service", service), zap.String("target", plan.Target),
+				zap.String("state", string(plan.State)), zap.Int64("revision", order.Revision))
+		}
+	}
+	f.unplanned.Store(&next)
+}
+
+// unplanned returns the plan that applies to an order until a controller publishes one, or
+// nil if the published plan is that of the order or of a later one.
+func unplanned(order *Order, published *rankedPlan) *Plan {
+	var previous *Plan
+	if published != nil {
+		if published.Order == order.ID() || published.OrderRevision > order.Revision {
+			return nil
+		}
+		previous = &published.Plan
+	}
+	plan := &Plan{
+		Order: order.ID(), OrderRevision: order.Revision, Service: order.Service, Target: order.Target, State: Active,
+		Forbidden: forbiddenVersions(previous, order.Target),
+	}
+	if order.Final() {
+		plan.State = order.State
+	}
+	return plan
+}
+
 // recordRollback records the order of a plan that was rolled back. A plan from a
 // controller without knowledge of the rollback then does not bring the version
 // back into use.
@@ -110,38 +179,45 @@
 	return nil, 0
 }
 
+// inForce returns the plan that determines the choice of versions of a service, nil if
+// there is none, and whether its target version gets no requests at all.
+func (f *Follower) inForce(service string) (p *Plan, withheld bool) {
+	if p := (*f.unplanned.Load())[service]; p != nil {
+		return p, p.State != Completed
+	}
+	if p := f.plan(service); p != nil {
+		return &p.Plan, f.WasRolledBack(service, p.Order)
+	}
+	return nil, false
+}
+
 // Allowed implements proxy.VersionPolicy.
 func (f *Follower) Allowed(service, version string) bool {
-	p := f.plan(service)
-	if p == nil {
-		return true
-	}
-	return p.allowsAfter(version, f.WasRolledBack(service, p.Order))
+	p, withheld := f.inForce(service)
+	return p == nil || p.allowsWith(version, withheld)
 }
 
 // Choose implements proxy.VersionChooser.
 func (f *Follower) Choose(service string, endpoints []*balance.Endpoint) []*balance.Endpoint {
-	p := f.plan(service)
+	p, withheld := f.inForce(service)
 	if p == nil {
 		return f.withoutPlan(service, endpoints, true)
 	}
-	rolledBack := f.WasRolledBack(service, p.Order)
-	wantNew := p.State == Active && !rolledBack && f.Random() < p.Share
-	return p.choose(endpoints, rolledBack, wantNew)
+	wantNew := p.State == Active && !withheld && f.Random() < p.Share
+	return p.choose(endpoints, withheld, wantNew)
 }
 
 // Explain implements proxy.VersionExplainer.
 func (f *Follower) Explain(service string, endpoints []*balance.Endpoint) []proxy.VersionOption {
-	p := f.plan(service)
+	p, withheld := f.inForce(service)
 	if p == nil {
 		return []proxy.VersionOption{{Share: 1, Endpoints: f.withoutPlan(service, endpoints, false)}}
 	}
-	rolledBack := f.WasRolledBack(service, p.Order)
-	old := p.choose(endpoints, rolledBack, false)
-	if p.State != Active || rolledBack {
+	old := p.choose(endpoints, withheld, false)
+	if p.State != Active || withheld {
 		return []proxy.VersionOption{{Share: 1, Endpoints: old}}
 	}
-	target := p.choose(endpoints, rolledBack, true)
+	target := p.choose(endpoints, withheld, true)
 	if slices.Equal(old, target) {
 		return []proxy.VersionOption{{Share: 1, Endpoints: old}}
 	}
@@ -150,12 +226,12 @@
 }
 
 // choose returns the endpoints for a request that is to run on the target version if
-// wantNew is set.
-func (p *Plan) choose(endpoints []*balance.Endpoint, rolledBack, wantNew bool) []*balance.Endpoint {
+// wantNew is set. It returns none of that version if it is withheld.
+func (p *Plan) choose(endpoints []*balance.Endpoint, withheld, wantNew bool) []*balance.Endpoint {
 	var old, target []*balance.Endpoint
 	for _, e := range endpoints {
 		switch {
-		case !p.allowsAfter(e.Version, rolledBack):
+		case !p.allowsWith(e.Version, withheld):
 		case e.Version == p.Target:
 			target = append(target, e)
 		default:
@@ -163,7 +239,7 @@
 		}
 	}
 	switch {
-	case rolledBack:
+	case withheld:
 		return old
 	case p.State == Completed || p.Closing:
 		return target
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -101,7 +101,7 @@
 	}
 	m.started = m.receivedAt
 	m.plan = &Plan{
-		Order: m.order.ID(), Service: m.order.Service, Target: m.order.Target, State: Active,
+		Order: m.order.ID(), OrderRevision: m.order.Revision, Service: m.order.Service, Target: m.order.Target, State: Active,
 		Forbidden: forbiddenVersions(recorded, m.order.Target),
 	}
 	if m.order.Final() {
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -44,15 +44,17 @@
 
 // Plan determines the use of a service's versions on all daemons.
 type Plan struct {
-	Order     string        `json:"order"` // ID of the order
-	Service   string        `json:"service"`
-	Target    string        `json:"target"`
-	State     State         `json:"state"`
-	Share     float64       `json:"share"`     // fraction of the requests for the target version
-	Closing   bool          `json:"closing"`   // old targets get no new requests
-	Forbidden []string      `json:"forbidden"` // versions rolled back by previous orders
-	Elapsed   time.Duration `json:"elapsed"`   // from the order to the last write of the plan
-	Reason    string        `json:"reason,omitempty"`
+	Order string `json:"order"` // ID of the order
+	// OrderRevision is the revision of the order's object when the plan was made.
+	OrderRevision int64         `json:"orderRevision,omitempty"`
+	Service       string        `json:"service"`
+	Target        string        `json:"target"`
+	State         State         `json:"state"`
+	Share         float64       `json:"share"`     // fraction of the requests for the target version
+	Closing       bool          `json:"closing"`   // old targets get no new requests
+	Forbidden     []string      `json:"forbidden"` // versions rolled back by previous orders
+	Elapsed       time.Duration `json:"elapsed"`   // from the order to the last write of the plan
+	Reason        string        `json:"reason,omitempty"`
 }
 
 // Keys of facts and kinds of store objects.
@@ -111,10 +113,10 @@
 	return v, nil
 }
 
-// allowsAfter is allows, unless the order of the plan was rolled back: then only the
-// versions that were in use before it are allowed, whatever the plan says.
-func (p *Plan) allowsAfter(version string, rolledBack bool) bool {
-	if rolledBack {
+// allowsWith is allows, unless the target version is withheld: then only the versions that
+// were in use before the order are allowed, whatever the plan says.
+func (p *Plan) allowsWith(version string, withheld bool) bool {
+	if withheld {
 		return version != p.Target && !slices.Contains(p.Forbidden, version)
 	}
 	return p.allows(version)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -290,3 +290,51 @@
 		})
 	}
 }
+
+// TestOrderWithoutPlan guards against requests to the target version of an order that no
+// controller has planned: while the plan of an earlier order was in force they were spread
+// over all versions that it did not forbid, and a restarted daemon took the version of the
+// most targets.
+func TestOrderWithoutPlan(t *testing.T) {
+	endpoints := []*balance.Endpoint{{Version: "v1", Available: true}, {Version: "v3", Available: true}, {Version: "v3", Available: true}}
+	order := func(state State) Order {
+		return Order{Service: testService, Target: "v3", Created: 7, Revision: 20, State: state, Reported: "v3"}
+	}
+	earlier := Plan{Order: "7/v2", OrderRevision: 7, Service: testService, Target: "v2", State: RolledBack}
+	active := Plan{Order: "7/v3", OrderRevision: 20, Service: testService, Target: "v3", State: Active, Share: 1, Closing: true}
+	later := Plan{Order: "7/v4", OrderRevision: 30, Service: testService, Target: "v4", State: RolledBack}
+	onlyOld, onlyNew, both := []string{"v1"}, []string{"v3", "v3"}, []string{"v1", "v3", "v3"}
+	for name, c := range map[string]struct {
+		order  Order
+		plan   *Plan
+		rank   uint64 // of the plan
+		chosen []string
+	}{
+		"no plan":                     {order(""), nil, 0, onlyOld},
+		"plan of an earlier order":    {order(""), &earlier, Rank(10), onlyOld},
+		"earlier plan written after":  {order(""), &earlier, Rank(25), onlyOld},
+		"plan of the order":           {order(""), &active, Rank(25), onlyNew},
+		"plan of a later order":       {order(""), &later, Rank(31), both},
+		"completed, plan not known":   {order(Completed), nil, 0, onlyNew},
+		"rolled back, plan not known": {order(RolledBack), &earlier, Rank(10), onlyOld},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := NewFollower(zap.NewNop())
+			facts := []fleet.Fact{{Key: OrderKey(testService), Rank: Rank(c.order.Revision), Payload: Encode(c.order)}}
+			if c.plan != nil {
+				facts = append(facts, fleet.Fact{Key: PlanKey(testService), Rank: c.rank, Payload: Encode(c.plan)})
+			}
+			f.Refresh(facts)
+			chosen := f.Choose(testService, endpoints)
+			versions := make([]string, len(chosen))
+			for i, e := range chosen {
+				versions[i] = e.Version
+			}
+			assert.DeepEqual(t, versions, c.chosen)
+			for _, v := range []string{"v1", "v3"} {
+				assert.Equal(t, f.Allowed(testService, v), slices.Contains(c.chosen, v), v)
+			}
+			assert.Assert(t, slices.Equal(f.Explain(testService, endpoints)[0].Endpoints, chosen))
+		})
+	}
+}
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -41,6 +41,7 @@
 	store    string
 	target   *proxytest.Target
 	id       string
+	version  string // of the target
 	stop     context.CancelFunc
 	ended    chan error
 	logger   *zap.Logger
@@ -179,7 +180,7 @@
 }
 
 func (d *deployment) newMachine(i int) *machine {
-	m := &machine{t: d.t, store: d.store.Address, target: proxytest.New(d.t), state: "ready", logger: zap.NewNop(), id: fmt.Sprintf("i-%d", i)}
+	m := &machine{t: d.t, store: d.store.Address, target: proxytest.New(d.t), state: "ready", logger: zap.NewNop(), id: fmt.Sprintf("i-%d", i), version: "v1"}
 	m.settings = &node.Settings{
 		Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("zone-%d", i%2), Service: service, TargetAddress: m.target.Address,
 		Listen: node.Listen{
@@ -230,8 +231,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
-	body := fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":%q,"version":"v1","zone":"z","slots":8},
-		"status":{"state":%q,"sequence":%d,"warmup_left_ms":%d}}`, m.target.Address, service, state, m.sequence,
+	body := fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":%q,"version":%q,"zone":"z","slots":8},
+		"status":{"state":%q,"sequence":%d,"warmup_left_ms":%d}}`, m.target.Address, service, m.version, state, m.sequence,
 		max(0, time.Until(m.warmAt).Milliseconds()))
 	return m.putInstance(m.id, body)
 }
