Give each step of a move its time under a late successor

Callers saw a version that is bad under load completed, if the controller was lost early and its successor took over late: the time of each step had passed, so it raised the share through all of them within about a second, before failures at the new share were in the evidence.

Change: a step that a controller starts lasts at least its planned time, shortened by up to half if the order would otherwise end late. Moves whose controller stays are not changed.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -41,6 +41,14 @@
 // duration after the last step is reserved for the confirmations of all daemons.
 var steps = []step{{0.08, 0.36}, {0.3, 0.50}, {0.6, 0.61}, {1, 0.70}}
 
+const (
+	// completeBy is the fraction of the order's duration in which the last step of a
+	// move is to end. The rest is needed for the confirmations of all daemons.
+	completeBy = 0.9
+	// minStepScale is the fraction of its planned time that a step lasts at least.
+	minStepScale = 0.5
+)
+
 // Records stores plans and reports the states of orders to the operator.
 type Records interface {
 	// LoadPlan returns the plan of a service and its revision, or nil if there is none.
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -21,6 +21,7 @@
 	rank           uint64
 	started        clock.Instant
 	publishedAt    clock.Instant // when advance last published a plan
+	stepEnd        time.Duration // earliest end of the current step, since the order
 	judge          Judge
 	attemptsAtStep int // attempts at the new version when the current step started
 }
@@ -168,7 +169,7 @@
 		return
 	}
 	index := m.currentStep()
-	if elapsed < time.Duration(steps[index].until*float64(m.order.Duration)) || m.judge.Attempts()-m.attemptsAtStep < stepAttempts {
+	if elapsed < time.Duration(steps[index].until*float64(m.order.Duration)) || elapsed < m.stepEnd || m.judge.Attempts()-m.attemptsAtStep < stepAttempts {
 		return
 	}
 	next := *m.plan
@@ -180,6 +181,20 @@
 	m.advance(ctx, &next)
 }
 
+// minStepDuration returns the shortest time for which a step is to last that starts at a
+// time since the order. A controller that takes over late must not raise the share before
+// the evidence of the current step is in. Steps that started late are shortened by up to
+// half, so that the move ends in time if possible.
+func minStepDuration(index int, start, order time.Duration) time.Duration {
+	if index == 0 || order <= 0 {
+		return 0
+	}
+	remaining := steps[len(steps)-1].until - steps[index-1].until
+	available := completeBy - start.Seconds()/order.Seconds()
+	scale := min(max(available/remaining, minStepScale), 1)
+	return time.Duration(scale * (steps[index].until - steps[index-1].until) * float64(order))
+}
+
 // currentStep returns the index of the step whose share is in force.
 func (m *move) currentStep() int {
 	for i := range steps {
@@ -208,6 +223,8 @@
 	m.attemptsAtStep = m.judge.Attempts()
 	m.judge.StartStep()
 	m.publishedAt = m.controller.Clock.Now()
+	elapsed := m.publishedAt.Sub(m.started)
+	m.stepEnd = elapsed + minStepDuration(m.currentStep(), elapsed, m.order.Duration)
 	m.logStep("evidence")
 }
 
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -112,6 +112,35 @@
 	}
 }
 
+// TestLateSuccessor guards against a controller that takes over a move late and raises the
+// share through all steps before the evidence of any of them is in, and against one that
+// does not complete the move to a good version.
+func TestLateSuccessor(t *testing.T) {
+	const lost, replaced = 3 * time.Second, 11 * time.Second
+	faultUnderLoad := traffic{perSecond: 160, effects: func(version, _ string, share float64, _ time.Duration) (float64, float64) {
+		if version == "v2" && share > 0.2 {
+			return 0.3, 1
+		}
+		return baseFailureRate, 1
+	}}
+	for _, seed := range seeds {
+		t.Run("bad version", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, seed)
+				s.runWithSuccessor(faultUnderLoad, lost, replaced)
+				s.checkRolledBack()
+			})
+		})
+		t.Run("good version", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, seed)
+				s.runWithSuccessor(traffic{perSecond: 160, effects: noFault}, lost, replaced)
+				assert.Equal(t, s.records.state(), Completed, "seed %d", seed)
+			})
+		})
+	}
+}
+
 // checkRolledBack checks that the bad version was rolled back within the operator's
 // limits.
 func (s *simulation) checkRolledBack() {
--- a/pkg/rollout/simulation_test.go
+++ b/pkg/rollout/simulation_test.go
@@ -163,11 +163,20 @@
 }
 
 // run generates traffic until three seconds after the order's duration.
-func (s *simulation) run(load traffic) {
+func (s *simulation) run(load traffic) { s.runWithSuccessor(load, 0, 0) }
+
+// runWithSuccessor is run with a controller that is lost at the instant lost and replaced
+// at the instant replaced, both since the order.
+func (s *simulation) runWithSuccessor(load traffic, lost, replaced time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer func() { cancel(); time.Sleep(time.Second); s.tasks.Release() }()
-	c := s.controller()
-	go c.Run(ctx)
+	first, lose := context.WithCancel(ctx)
+	defer lose()
+	go s.controller().Run(first)
+	if replaced > 0 {
+		time.AfterFunc(lost, lose)
+		time.AfterFunc(replaced, func() { s.controller().Run(ctx) })
+	}
 	s.order()
 	lastReport := time.Duration(0)
 	for s.elapsed() < orderDuration+3*time.Second {
