Order revisions by the era of the store

Cause: revisions that the store assigns again were taken for those that it had assigned before. A watch went on from one of them and never saw the changes below it, facts of the new state ranked below earlier ones, and a daemon whose entry was equal to what it had stored never wrote it again.

Change: the adapter puts the era that each response names (Store-Era) into the upper bits of the revisions that it decodes, and does not send conditions and watches of an earlier era. Peers learn the era from a fact.

Without the header the era is 0 and revisions are as before.

--- a/cmd/nutmegnode/main.go
+++ b/cmd/nutmegnode/main.go
@@ -23,7 +23,7 @@
 	}
 	objects := platform.NewObjects(s.Store)
 	p := node.Platform{
-		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
+		Headers: platform.Headers(), Operator: platform.NewOperator(objects), Store: objects, Eras: objects.Eras(), Edge: platform.Edge{},
 		ApplyBounds: platform.ApplyBounds,
 	}
 	return &service.Program{
--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -244,6 +244,10 @@
 // entryMaxAge, after a crash or a planned stop. A daemon that stops leaves its entry,
 // since it usually starts again. Only the first of the operator watchers removes them.
 func (n *Node) removeStaleEntries(ctx context.Context) {
+	if era := n.platform.Eras.Current(); era != n.removedInEra {
+		n.removedInEra = era // the copy from which the store returned may have removed entries
+		clear(n.removedEntries)
+	}
 	ranked := n.watchers()
 	if len(ranked) == 0 || ranked[0] != n.settings.Name {
 		return
--- a/pkg/node/entry.go
+++ b/pkg/node/entry.go
@@ -75,9 +75,14 @@
 		return
 	}
 	e.add(id, startMS)
+	e.requestSave()
+}
+
+// requestSave starts to store the entry.
+func (e *storedEntry) requestSave() {
 	select {
 	case e.wake <- struct{}{}:
-	default: // the pending save includes this departure
+	default: // the pending save includes the latest change
 	}
 }
 
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -75,6 +75,8 @@
 	Operator Operator
 	Store    store.Store
 	Edge     Edge
+	// Eras holds the eras of the store. Those that peers report are added to it.
+	Eras *store.Eras
 	// ApplyBounds completes settings by the bounds that they contain. It may be nil.
 	ApplyBounds func(*Settings) error
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,6 +29,7 @@
 	"nutmegstand.example/nutmegstand/pkg/quota"
 	"nutmegstand.example/nutmegstand/pkg/rollout"
 	"nutmegstand.example/nutmegstand/pkg/routing"
+	"nutmegstand.example/nutmegstand/pkg/store"
 	"nutmegstand.example/nutmegstand/pkg/telemetry"
 )
 
@@ -85,6 +86,7 @@
 	refusing        atomic.Bool // new requests are refused, since they might not end before the stop
 	startedAt       clock.Instant
 	removedEntries  map[string]uint64 // incarnations whose store entries were removed, by member
+	removedInEra    uint64            // era of the store in which they were removed
 	listeners       map[string]net.Listener
 	pools           map[string]*connlimit.Pool // connections by listener
 	connections     *connguard.Metrics
@@ -108,6 +110,9 @@
 // New opens the listeners of the settings and builds the parts of the daemon. Run
 // starts them.
 func New(s *Settings, p Platform, logger *zap.Logger) (*Node, error) {
+	if p.Eras == nil {
+		p.Eras = &store.Eras{}
+	}
 	n := &Node{settings: s, platform: p, logger: logger, clock: clock.Boot{}, failed: make(chan error, 1)}
 	var err error
 	if n.tasks, err = ants.NewPool(maxTasks, ants.WithNonblocking(true)); err != nil {
@@ -260,6 +265,7 @@
 	n.startPart("readiness", func() error { return edge.ServeReadiness(ctx, n.listeners["readiness"], n.ready) })
 	n.startPart("register", func() error { n.register(ctx); return nil })
 	n.startPart("unregistered target", func() error { n.releaseUnregistered(ctx); return nil })
+	n.startPart("store eras", func() error { n.followEras(ctx); return nil })
 	n.startPart("departures", func() error { n.entry.run(ctx); return nil })
 	n.startPart("configuration", func() error { n.configWatcher().run(ctx); return nil })
 	n.startPart("orders", func() error { n.orderWatcher().run(ctx); return nil })
@@ -336,6 +342,7 @@
 			n.moves.Refresh(facts)
 			n.applySuspects(facts)
 			n.applyEvacuations(facts)
+			n.applyEras(facts)
 		}
 		if ready := n.ready(); ready && !wasReady {
 			wasReady = true
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -61,6 +61,7 @@
 	contact func()               // called after each successful call, if set
 
 	revision int64 // last revision seen, 0 if all entries must be read again
+	failed   bool  // the last call failed
 }
 
 // reliesOnPeers reports whether this daemon waits for its peers to send it the
@@ -115,6 +116,7 @@
 			continue
 		}
 		err := w.step(ctx)
+		w.failed = err != nil
 		var notFound *store.NotFoundError
 		if err == nil || errors.As(err, &notFound) {
 			w.node.store.succeeded()
@@ -152,6 +154,10 @@
 // step makes one call: a watch from the last revision, or a read if there is none.
 func (w *watcher) step(ctx context.Context) error {
 	timeout := w.timeout()
+	if w.failed {
+		// The response names the era of the store, which may have returned from a copy.
+		timeout = min(timeout, minConfigWatch)
+	}
 	call := func(ctx context.Context) (int64, error) { return w.watch(ctx, w.revision) }
 	if w.revision == 0 {
 		timeout = storeCallTimeout
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -197,7 +197,7 @@
 	m.t.Helper()
 	objects := platform.NewObjects(m.store)
 	n, err := node.New(m.settings, node.Platform{
-		Headers: proxytest.Names, Operator: platform.NewOperator(objects), Store: objects, Edge: platform.Edge{},
+		Headers: proxytest.Names, Operator: platform.NewOperator(objects), Store: objects, Eras: objects.Eras(), Edge: platform.Edge{},
 	}, m.logger)
 	assert.NilError(m.t, err)
 	var ctx context.Context
--- a/test/platform/standin/store.go
+++ b/test/platform/standin/store.go
@@ -69,6 +69,9 @@
 	revision          int64
 	history           []change
 	compactedRevision int64 // revision at the last compaction; watches from an earlier one expire
+	era               int   // incremented when the store returns from a copy
+	cutEra            int   // watches of earlier eras are cut off
+	away              bool
 	changed           chan struct{}
 	fault             func(r *http.Request) Fault
 	calls             int
@@ -79,7 +82,7 @@
 func NewStore(t testing.TB) *Store {
 	t.Helper()
 	s := &Store{
-		objects: make(map[string]map[string]*Object), raw: make(map[string][]string), revision: 1, changed: make(chan struct{}),
+		objects: make(map[string]map[string]*Object), raw: make(map[string][]string), revision: 1, era: 1, changed: make(chan struct{}),
 		fault: func(*http.Request) Fault { return NoFault },
 	}
 	server := httptest.NewServer(s)
@@ -188,6 +191,10 @@
 	s.mu.Lock()
 	s.calls++
 	fault := s.fault(r)
+	if s.away {
+		fault = Unavailable
+	}
+	s.nameEra(w)
 	s.mu.Unlock()
 	switch fault {
 	case Unavailable:
@@ -330,9 +337,16 @@
 	from, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era, unknown := s.era, from > s.revision
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if from < s.compactedRevision {
+		if s.away || s.cutEra > era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler) // a watch that waits is cut off
+		}
+		if from < s.compactedRevision || unknown {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -344,6 +358,7 @@
 			}
 		}
 		revision, changed := s.revision, s.changed
+		s.nameEra(w)
 		if len(events) > 0 {
 			s.writeWithRaw(w, map[string]any{"events": events, "at_rev": revision}, `"events":[`, kind, `{"object":%s,"deleted":false}`)
 			s.mu.Unlock()
--- a/test/platform/store_test.go
+++ b/test/platform/store_test.go
@@ -208,3 +208,28 @@
 		}
 	}
 }
+
+// TestConditionsAcrossEras guards against a conditional write or a watch that applies to
+// another change, since the store has returned from a copy and assigned its revision again.
+func TestConditionsAcrossEras(t *testing.T) {
+	s, objects := newObjects(t)
+	first, err := objects.Create(t.Context(), "moves/a", []byte(`{"n":1}`))
+	assert.NilError(t, err)
+	old := s.Copy()
+	read, err := objects.Update(t.Context(), "moves/a", []byte(`{"n":2}`), first.Revision)
+	assert.NilError(t, err)
+	s.Replace(old)
+	s.Put("moves", "a", map[string]int{"n": 3}) // by another writer, with the revision of n = 2
+	_, err = objects.Update(t.Context(), "moves/a", []byte(`{"n":4}`), read.Revision)
+	assert.Assert(t, store.IsConflict(err) || store.IsOutcomeUnknown(err), "%v", err)
+	current, err := objects.Get(t.Context(), "moves/a")
+	assert.NilError(t, err)
+	assert.Assert(t, current.Revision > read.Revision, "a revision of the new era is not the later one")
+	_, err = objects.Update(t.Context(), "moves/a", []byte(`{"n":5}`), read.Revision)
+	assert.Assert(t, store.IsConflict(err), "%v", err)
+	assert.Assert(t, store.IsConflict(objects.Delete(t.Context(), "moves/a", read.Revision)))
+	_, _, err = objects.Watch(t.Context(), "moves/", read.Revision)
+	assert.Assert(t, store.IsExpiredWatch(err), "%v", err)
+	_, err = objects.Update(t.Context(), "moves/a", []byte(`{"n":5}`), current.Revision)
+	assert.NilError(t, err)
+}
