Continue moves whose orders are written again after the store returns

Cause: an order is identified by the creation of its object, and plans were taken from the store alone, which had lost them. An order of the copy that a later one had replaced took its place.

Change: an order is the same if a plan of an earlier era has its target version. The plan in force then applies on; the controller records it in the new era and reports its end again. An order names the versions of earlier ones, so that an outdated order of the copy is ignored.

--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -67,6 +67,8 @@
 		"The target may be used: the departures acknowledged by earlier processes are known, or its heartbeats show that it has not left. The reason names the evidence.")
 	eventStoreReturned = telemetry.NewEvent(2229, "store_returned", zapcore.WarnLevel,
 		"The store has returned from an older copy of itself, in a new era. Entries are read again, and what this daemon had stored is stored again.")
+	eventOrderOutdated = telemetry.NewEvent(2230, "order_outdated", zapcore.InfoLevel,
+		"The store has returned from a copy with an order that a later one had replaced. The later one stays in force; the operator writes it again.")
 	eventWorkspacesChanged = telemetry.NewEvent(2240, "workspaces_changed", zapcore.InfoLevel,
 		"A newer configuration changed workspaces or their keys; the event has the numbers of changed and removed workspaces, and of all workspaces and keys.")
 )
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -242,7 +242,12 @@
 
 func (n *Node) handleOrders(orders []rollout.Order) {
 	for i := range orders {
-		o := &orders[i]
+		o, current := orders[i].Succeed(n.knownOrder(orders[i].Service))
+		if !current {
+			eventOrderOutdated.Log(n.logger, zap.String("service", orders[i].Service), zap.String("target", orders[i].Target),
+				zap.Int64("revision", orders[i].Revision))
+			continue
+		}
 		if n.fleet.SetFact(rollout.OrderKey(o.Service), rollout.Rank(o.Revision), rollout.Encode(o)) {
 			eventOrderSeen.Log(n.logger, zap.String("service", o.Service), zap.String("target", o.Target),
 				zap.Duration("duration", o.Duration), zap.Int64("revision", o.Revision), zap.String("state", string(o.State)))
@@ -250,6 +255,20 @@
 	}
 }
 
+// knownOrder returns the order of a service among the facts, nil if there is none.
+func (n *Node) knownOrder(service string) *rollout.Order {
+	key := rollout.OrderKey(service)
+	fact, ok := n.table.Fact(key)
+	if !ok {
+		return nil
+	}
+	order, err := rollout.Decode[rollout.Order](key, fact.Payload)
+	if err != nil {
+		return nil // the new order replaces it
+	}
+	return order
+}
+
 // storeHealth tracks whether the store calls of the watchers succeed.
 type storeHealth struct {
 	node *Node
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -144,8 +144,8 @@
 			eventPlanRejected.Log(c.Logger, zap.Error(err))
 			continue
 		}
-		plan, _ := c.Follower.Plan(order.Service)
-		ended := plan != nil && plan.Order == order.ID() && plan.State != Active
+		plan, rank := c.Follower.Plan(order.Service)
+		ended := plan != nil && plan.Order == order.ID() && plan.State != Active && eraOfRank(rank) >= eraOf(order.Revision)
 		if !order.Final() || !ended {
 			open = append(open, openOrder{*order, fact.ReceivedAt()})
 		}
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -134,7 +134,7 @@
 func unplanned(order *Order, published *rankedPlan) *Plan {
 	var previous *Plan
 	if published != nil {
-		if published.Order == order.ID() || published.OrderRevision > order.Revision {
+		if published.isFor(order) || published.OrderRevision > order.Revision {
 			return nil
 		}
 		previous = &published.Plan
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -74,43 +74,56 @@
 	}
 }
 
-// resumeOrStart continues the recorded plan of the order, or starts a new one if
-// the recorded plan is that of another order.
+// resumeOrStart continues the plan of the order, or starts a new one if there is none.
 func (m *move) resumeOrStart(ctx context.Context) error {
 	c := m.controller
-	recorded, revision, err := c.Records.LoadPlan(ctx, m.order.Service)
+	previous, revision, err := c.Records.LoadPlan(ctx, m.order.Service)
 	if err != nil {
 		return err
 	}
-	now := c.Clock.Now()
-	if recorded != nil && recorded.Order == m.order.ID() {
-		m.plan, m.revision = recorded, revision
-		m.started = m.receivedAt
-		if continued := now.Add(-recorded.Elapsed); continued < m.started {
-			m.started = continued
-		}
-		if recorded.State == Active && m.order.Final() {
-			m.plan.State = m.order.State
-			return m.save(ctx)
-		}
-		if recorded.State == Active && c.Follower.WasRolledBack(m.order.Service, recorded.Order) {
-			m.plan.State, m.plan.Reason = RolledBack, "rolled back before"
-			return m.save(ctx)
-		}
-		m.publish(Rank(revision))
-		return nil
+	m.revision = revision
+	era := eraOf(m.order.Revision)
+	known, rank := c.Follower.Plan(m.order.Service)
+	// The store may have returned from a copy that lacks the plan in force.
+	lost := known != nil && eraOfRank(rank) < era && (previous == nil || eraOf(previous.OrderRevision) < era)
+	if lost {
+		previous = known
+	}
+	if previous != nil && previous.isFor(&m.order) {
+		return m.resume(ctx, previous, lost)
 	}
 	m.started = m.receivedAt
 	m.plan = &Plan{
 		Order: m.order.ID(), OrderRevision: m.order.Revision, Service: m.order.Service, Target: m.order.Target, State: Active,
-		Forbidden: forbiddenVersions(recorded, m.order.Target),
+		Forbidden: forbiddenVersions(previous, m.order.Target),
 	}
 	if m.order.Final() {
 		m.plan.State = m.order.State
 	} else {
 		m.plan.Share = steps[0].share
 	}
-	m.revision = revision
+	return m.save(ctx)
+}
+
+// resume continues a plan of the order. It is recorded again if it may be lost.
+func (m *move) resume(ctx context.Context, previous *Plan, lost bool) error {
+	c := m.controller
+	plan := *previous
+	plan.Order, plan.OrderRevision = m.order.ID(), m.order.Revision
+	m.plan = &plan
+	m.started = m.receivedAt
+	if continued := c.Clock.Now().Add(-plan.Elapsed); continued < m.started {
+		m.started = continued
+	}
+	switch {
+	case plan.State == Active && m.order.Final():
+		plan.State = m.order.State
+	case plan.State == Active && c.Follower.WasRolledBack(m.order.Service, previous.Order):
+		plan.State, plan.Reason = RolledBack, "rolled back before"
+	case !lost && plan.Order == previous.Order:
+		m.publish(Rank(m.revision))
+		return nil
+	}
 	return m.save(ctx)
 }
 
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
 // State is the state of a move.
@@ -31,6 +33,38 @@
 	Created  int64         `json:"created"`  // revision at which the object was created
 	State    State         `json:"state"`    // last state reported to the operator, empty before the first report
 	Reported string        `json:"reported"` // target version to which State refers
+	// Previous has the target versions of earlier orders of the service, the latest last.
+	Previous []string `json:"previous,omitempty"`
+}
+
+// maxPrevious bounds the earlier target versions that an order names.
+const maxPrevious = 8
+
+// Succeed returns the order as the successor of the known one, which may be nil. It
+// reports false for an order that the known one has replaced, if the store has returned
+// from a copy in between: the operator writes the known one again.
+func (o *Order) Succeed(known *Order) (*Order, bool) {
+	next := *o
+	if known == nil {
+		return &next, true
+	}
+	next.Previous = known.Previous
+	if o.Target == known.Target {
+		return &next, true
+	}
+	if eraOf(known.Revision) < eraOf(o.Revision) && slices.Contains(known.Previous, o.Target) {
+		return nil, false
+	}
+	next.Previous = slices.DeleteFunc(slices.Clone(known.Previous), func(v string) bool { return v == o.Target || v == known.Target })
+	next.Previous = append(next.Previous, known.Target)
+	next.Previous = next.Previous[max(0, len(next.Previous)-maxPrevious):]
+	return &next, true
+}
+
+// eraOf returns the era of a revision of the store.
+func eraOf(revision int64) uint64 {
+	era, _ := store.SplitRevision(revision)
+	return era
 }
 
 // Final reports whether the end of the order has been reported to the operator.
@@ -39,8 +73,11 @@
 }
 
 // ID returns the identifier of the order. An object that is updated with another
-// target version is another order.
-func (o *Order) ID() string { return fmt.Sprintf("%d/%s", o.Created, o.Target) }
+// target version is another order. An object that a returned store still has keeps its ID.
+func (o *Order) ID() string {
+	_, created := store.SplitRevision(o.Created)
+	return fmt.Sprintf("%d/%s", created, o.Target)
+}
 
 // Plan determines the use of a service's versions on all daemons.
 type Plan struct {
@@ -57,6 +94,12 @@
 	Reason        string        `json:"reason,omitempty"`
 }
 
+// isFor reports whether the plan is that of an order. An order that the operator has written
+// again, after the store had returned from a copy, may be another object.
+func (p *Plan) isFor(o *Order) bool {
+	return p.Order == o.ID() || p.Target == o.Target && eraOf(p.OrderRevision) < eraOf(o.Revision)
+}
+
 // Keys of facts and kinds of store objects.
 const (
 	orderKeyPrefix = "order/"
@@ -72,6 +115,9 @@
 // Rank returns the rank of a plan or an order that was stored at a revision.
 func Rank(revision int64) uint64 { return uint64(revision) << rankShift }
 
+// eraOfRank returns the era of the store in which a plan was stored.
+func eraOfRank(rank uint64) uint64 { return eraOf(int64(rank >> rankShift)) }
+
 // OrderKey returns the key of the fact that contains a service's order.
 func OrderKey(service string) string { return orderKeyPrefix + service }
 
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"cmp"
+	"context"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -12,6 +14,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
+	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
 // baseFailureRate is the failure rate of both versions without a fault.
@@ -141,6 +144,101 @@
 	}
 }
 
+// TestOrderWrittenAgain guards against an order that starts anew, or gets no end, since the
+// store has returned from a copy without its status or its plan and the operator has written
+// it again. The targets that a completed move replaced no longer exist.
+func TestOrderWrittenAgain(t *testing.T) {
+	const before = 50 // revision at which the plan in force was made
+	stale := &Plan{Order: "7/v2", OrderRevision: 7, Service: testService, Target: "v2", State: Active, Share: steps[0].share}
+	earlier := &Plan{Order: "5/v0", OrderRevision: 5, Service: testService, Target: "v0", State: RolledBack}
+	for name, c := range map[string]struct {
+		known, recorded *Plan
+		want            State
+		reported        State
+	}{
+		"rolled back":                     {&Plan{State: RolledBack}, nil, RolledBack, RolledBack},
+		"rolled back, stale copy":         {&Plan{State: RolledBack}, stale, RolledBack, RolledBack},
+		"rolled back, copy of an earlier": {&Plan{State: RolledBack}, earlier, RolledBack, RolledBack},
+		"completed":                       {&Plan{State: Completed}, nil, Completed, Completed},
+		"completed, stale copy":           {&Plan{State: Completed}, stale, Completed, Completed},
+		"under way":                       {&Plan{State: Active, Share: 0.6}, stale, Active, Active},
+		"all daemons lost, completed":     {nil, &Plan{State: Completed}, Completed, Completed},
+		"all daemons lost, rolled back":   {nil, &Plan{State: RolledBack}, RolledBack, RolledBack},
+		"ended in the new era":            {&Plan{State: Active, Share: 0.08}, &Plan{Order: "30/v2", State: RolledBack, OrderRevision: store.RevisionAt(2, 40)}, RolledBack, RolledBack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, 7401)
+				defer s.tasks.Release()
+				complete := func(p *Plan) *Plan {
+					if p == nil || p.Target != "" {
+						return p
+					}
+					full := *p
+					full.Order, full.Service, full.Target = cmp.Or(p.Order, "7/v2"), testService, "v2"
+					if full.OrderRevision == 0 {
+						full.OrderRevision = store.RevisionAt(1, before)
+					}
+					return &full
+				}
+				if known := complete(c.known); known != nil {
+					s.table.SetFact(PlanKey(testService), Rank(store.RevisionAt(1, before+1)), Encode(known))
+					s.follower.Refresh(s.table.Facts())
+				}
+				s.records.plan, s.records.revision = complete(c.recorded), store.RevisionAt(2, 20)
+				// Written again as another object, with a revision that was assigned before.
+				order := &Order{
+					Service: testService, Target: "v2", Duration: orderDuration, Revision: store.RevisionAt(2, 30), Created: store.RevisionAt(2, 30),
+				}
+				s.table.SetFact(OrderKey(testService), Rank(order.Revision), Encode(order))
+				s.follower.Refresh(s.table.Facts())
+				assert.Equal(t, s.follower.Allowed(testService, "v2"), c.known != nil && c.known.State != RolledBack, "before the plan is known again")
+				ctx, cancel := context.WithCancel(t.Context())
+				go s.controller().Run(ctx)
+				time.Sleep(time.Second)
+				cancel()
+				synctest.Wait()
+				plan, rank := s.follower.Plan(testService)
+				assert.Equal(t, plan.State, c.want)
+				assert.Equal(t, s.records.state(), c.reported)
+				assert.Equal(t, plan.Order, order.ID())
+				assert.Equal(t, eraOfRank(rank), uint64(2))
+				assert.Equal(t, s.records.plan.State, c.want, "not recorded again")
+				if c.known != nil && c.want == Active {
+					assert.Equal(t, plan.Share, c.known.Share, "the move started anew")
+				}
+				for _, v := range []string{"v1", "v2"} {
+					allowed := map[State][]string{Active: {"v1", "v2"}, Completed: {"v2"}, RolledBack: {"v1"}}[c.want]
+					assert.Equal(t, s.follower.Allowed(testService, v), slices.Contains(allowed, v), v)
+				}
+			})
+		})
+	}
+}
+
+// TestOutdatedOrder guards against an order of the copy that replaces the later one, which
+// the operator writes again.
+func TestOutdatedOrder(t *testing.T) {
+	at := func(era uint64, revision int64, target string) *Order {
+		return &Order{Service: testService, Target: target, Revision: store.RevisionAt(era, revision)}
+	}
+	first, ok := at(1, 10, "v2").Succeed(nil)
+	assert.Assert(t, ok)
+	second, ok := at(1, 20, "v3").Succeed(first)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, second.Previous, []string{"v2"})
+	_, ok = at(2, 10, "v2").Succeed(second)
+	assert.Assert(t, !ok, "the copy's order replaced the later one")
+	fresh, ok := at(2, 25, "v4").Succeed(second)
+	assert.Assert(t, ok, "a new order after the return")
+	assert.DeepEqual(t, fresh.Previous, []string{"v2", "v3"})
+	again, ok := at(2, 22, "v3").Succeed(second)
+	assert.Assert(t, ok, "the order that was written again")
+	assert.DeepEqual(t, again.Previous, []string{"v2"})
+	_, ok = at(2, 30, "v2").Succeed(again)
+	assert.Assert(t, ok, "an earlier version that is ordered again in the new era")
+}
+
 // checkRolledBack checks that the bad version was rolled back within the operator's
 // limits.
 func (s *simulation) checkRolledBack() {
--- a/pkg/rollout/simulation_test.go
+++ b/pkg/rollout/simulation_test.go
@@ -72,7 +72,7 @@
 	if err := r.fail(); err != nil {
 		return 0, err
 	}
-	if ifRevision != r.revision {
+	if r.plan == nil && ifRevision != 0 || r.plan != nil && ifRevision != r.revision {
 		return 0, &store.ConflictError{Expected: ifRevision, Revision: r.revision}
 	}
 	saved := *plan
--- a/test/platform/drill_test.go
+++ b/test/platform/drill_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/proxy/proxytest"
 	"nutmegstand.example/nutmegstand/test/platform/standin"
 )
 
@@ -142,3 +143,122 @@
 		d.awaitUse(evacuated)
 	})
 }
+
+// newMoves returns a deployment of machines whose targets have the given versions. Only
+// those of the first version are announced.
+func newMoves(t *testing.T, versions ...string) *deployment {
+	d := &deployment{t: t, store: standin.NewStore(t)}
+	t.Parallel()
+	t.Cleanup(d.stop)
+	d.configure(1, "/look/", "/order/")
+	d.prepare = func(m *machine) {
+		if m.version = versions[len(d.machines)]; m.version != versions[0] {
+			m.state = ""
+		}
+	}
+	d.startMachines(len(versions))
+	d.sendRequests(60 * time.Millisecond)
+	return d
+}
+
+// announce starts the heartbeats of the targets of a version.
+func (d *deployment) announce(version string) (machines []*machine) {
+	for _, m := range d.machines {
+		if m.version == version {
+			m.setState("ready")
+			machines = append(machines, m)
+		}
+	}
+	return machines
+}
+
+const moveDuration = 8 * time.Second
+
+// TestBadVersionAfterReturn guards against a bad version that is tried again although it
+// was rolled back, and against a later one that is not controlled, after the store has
+// returned from a copy of before the first order.
+func TestBadVersionAfterReturn(t *testing.T) {
+	forEachAbsence(t, func(t *testing.T, away time.Duration) {
+		d := newMoves(t, "v1", "v1", "v1", "v2", "v3")
+		for _, m := range d.machines[3:] {
+			m.target.Handle(proxytest.Fail(http.StatusInternalServerError))
+		}
+		old := d.store.Copy()
+		d.writeOthers()
+		second := d.announce("v2")[0]
+		d.order("v2", moveDuration)
+		eventually(t, "the bad version is rolled back", moveDuration, func() bool { return d.moveState("v2") == "rolled_back" })
+		time.Sleep(time.Second)
+		d.returnFrom(old, away)
+		before := requestCount(second)
+		d.order("v2", moveDuration)
+		eventually(t, "the rollback is reported again", applyTimeout+maxStretch, func() bool { return d.moveState("v2") == "rolled_back" })
+		assert.Equal(t, requestCount(second), before, "the bad version is tried again")
+		third := d.announce("v3")[0]
+		d.order("v3", moveDuration)
+		eventually(t, "the next bad version is rolled back", moveDuration, func() bool { return d.moveState("v3") == "rolled_back" })
+		assert.Assert(t, requestCount(third) <= 50, "%d requests reached the bad version", requestCount(third))
+	})
+}
+
+// TestGoodVersionAfterReturn guards against a completed move that starts anew, or is not
+// reported, after the store has returned from a copy of before its order. The targets that
+// it replaced no longer exist, and requests for them would fail.
+func TestGoodVersionAfterReturn(t *testing.T) {
+	forEachAbsence(t, func(t *testing.T, away time.Duration) {
+		d := newMoves(t, "v1", "v1", "v2", "v2")
+		old := d.store.Copy()
+		d.writeOthers()
+		d.announce("v2")
+		d.order("v2", moveDuration)
+		eventually(t, "the move is completed", moveDuration+maxStretch, func() bool { return d.moveState("v2") == "completed" })
+		for _, m := range d.machines[:2] {
+			m.setState("")
+			assert.Equal(t, m.remove(), http.StatusOK)
+		}
+		time.Sleep(d.machines[0].settings.DrainPeriod.Duration())
+		d.returnFrom(old, away)
+		d.order("v2", moveDuration)
+		ordered := time.Now()
+		eventually(t, "the end is reported again", applyTimeout+maxStretch, func() bool { return d.moveState("v2") == "completed" })
+		for time.Since(ordered) < 3*time.Second {
+			for _, m := range d.machines {
+				assert.Equal(t, m.get("/order/1"), http.StatusOK, "%v after the order was written again", time.Since(ordered))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
+// TestLossAfterReturn guards against what the store has lost and nobody stored again: it
+// binds no daemon once all of them are lost.
+func TestLossAfterReturn(t *testing.T) {
+	d := newMoves(t, "v1", "v1", "v1", "v2")
+	second := d.announce("v2")[0]
+	second.target.Handle(proxytest.Fail(http.StatusInternalServerError))
+	old := d.store.Copy()
+	d.writeOthers()
+	d.configure(2, "/look/", "/order/", "/two/")
+	d.order("v2", moveDuration)
+	eventually(t, "the bad version is rolled back", moveDuration, func() bool { return d.moveState("v2") == "rolled_back" })
+	leaving := d.machines[0]
+	leaving.setState("")
+	assert.Equal(t, leaving.remove(), http.StatusOK)
+	time.Sleep(leaving.settings.DrainPeriod.Duration())
+	d.returnFrom(old, time.Second)
+	d.configure(2, "/look/", "/order/", "/two/")
+	d.order("v2", moveDuration)
+	time.Sleep(5 * time.Second)
+	d.restartAll()
+	before := requestCount(leaving, second)
+	for _, m := range d.machines {
+		eventually(t, "the latest route is served", recoveryTimeout, func() bool { return m.get("/two/") == http.StatusOK })
+	}
+	assert.Equal(t, leaving.sendHeartbeat("ready"), http.StatusOK)
+	for i := range 60 {
+		m := d.machines[i%len(d.machines)]
+		assert.Equal(t, m.get("/order/1"), http.StatusOK)
+	}
+	assert.Equal(t, requestCount(leaving, second), before, "requests to a target that has left, or to the version that was rolled back")
+	assert.Equal(t, d.moveState("v2"), "rolled_back")
+}
