Let the store of the soak return from older copies

The store returns at once, with or without cutting its watches, or after it was away for up to a second, from a copy of up to 6 s before, and the operator writes its objects again.

--- a/test/platform/soak/evacuation.go
+++ b/test/platform/soak/evacuation.go
@@ -38,12 +38,12 @@
 		domain := domainName(rng.IntN(domainCount))
 		d := time.Duration(rng.Int64N(int64(maxEvacuation)))
 		s.logEvent("evacuation %s %s", domain, evacuationBound+d)
-		s.store.Put("evacuations", domain, map[string]any{})
+		s.put("evacuations", domain, map[string]any{})
 		time.Sleep(evacuationBound)
 		s.history.evacuate(domain, s.storeUndisturbed)
 		time.Sleep(d)
 		s.history.evacuate(domain, nil)
-		s.store.Delete("evacuations", domain)
+		s.put("evacuations", domain, nil)
 		select {
 		case <-done:
 			return
--- a/test/platform/soak/moves.go
+++ b/test/platform/soak/moves.go
@@ -30,7 +30,7 @@
 		next, faulty := fmt.Sprintf("v%d", n), rng.IntN(2) == 0
 		s.startVersion(next, faulty)
 		s.logEvent("move to %s, faulty: %t", next, faulty)
-		s.store.Put("rollouts", service, map[string]any{
+		s.put("rollouts", service, map[string]any{
 			"service": service, "target_version": next, "duration_s": moveDuration.Seconds(),
 		})
 		state := s.awaitMove(next, done)
--- a/test/platform/soak/soak.go
+++ b/test/platform/soak/soak.go
@@ -32,8 +32,10 @@
 	// OverlayOnly leaves out the faults of the seed. Beside them few machines are
 	// undisturbed long enough for the check of configurations.
 	OverlayOnly bool
-	BinDir      string
-	LogDir      string
+	// Returns lets the store return from older copies of itself.
+	Returns bool
+	BinDir  string
+	LogDir  string
 }
 
 // Result is the outcome of a run.
@@ -57,12 +59,13 @@
 	configuredAt  time.Time // confirmation of configVersion
 	storeFaultAt  time.Time // last fault of the store
 	events        []string
-	activeFaults  map[string]bool // non-exclusive faults by name and machine
+	activeFaults  map[string]bool   // non-exclusive faults by name and machine
+	written       map[[2]string]any // what the operator has written, by kind and name; nil if it was deleted
 }
 
 // Run runs the schedule of one seed.
 func Run(t testing.TB, o Options) *Result {
-	s := &soak{t: t, options: o, store: standin.NewStore(t), history: newHistory(), activeFaults: make(map[string]bool)}
+	s := &soak{t: t, options: o, store: standin.NewStore(t), history: newHistory(), activeFaults: make(map[string]bool), written: make(map[[2]string]any)}
 	children := &processes.Group{BinDir: o.BinDir, LogDir: o.LogDir}
 	defer children.KillAll()
 	s.configure()
@@ -92,6 +95,9 @@
 		moves.Go(func() { s.checkLateConfigurations(done) })
 		moves.Go(func() { s.runEvacuations(rand.New(rand.NewPCG(o.Seed, 3)), done) })
 	}
+	if o.Returns {
+		moves.Go(func() { s.runReturns(rand.New(rand.NewPCG(o.Seed, 4)), done) })
+	}
 	if o.Moves {
 		moves.Go(func() { s.runMoves(rand.New(rand.NewPCG(o.Seed, 1)), done) })
 	}
@@ -133,7 +139,7 @@
 	if s.options.Overlay {
 		resources = append(resources, coldService())
 	}
-	s.store.Put("config", "main", map[string]any{"version": s.configVersion, "resources": resources})
+	s.putLocked("config", "main", map[string]any{"version": s.configVersion, "resources": resources})
 	s.configuredAt = time.Now()
 }
 
--- a/test/platform/soak/soak_test.go
+++ b/test/platform/soak/soak_test.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// ciSeed and ciOverlaySeed are the seeds of the short runs in CI.
+	// ciSeed, ciOverlaySeed and ciReturnSeed are the seeds of the short runs in CI.
 	ciSeed        = 1
 	ciOverlaySeed = 3
+	ciReturnSeed  = 5
 	// ciDuration and seedDuration are the durations of the fault injection.
 	ciDuration   = 8 * time.Second
 	seedDuration = 30 * time.Second
@@ -45,7 +46,7 @@
 }
 
 // TestSoak guards against violated guarantees under consecutive and overlapping
-// faults. By default it does two short runs. SOAK_SEEDS sets a number of seeds to run,
+// faults. By default it does three short runs. SOAK_SEEDS sets a number of seeds to run,
 // starting at SOAK_FROM or else at a seed taken from the time; the seeds that failed
 // before are then run as well.
 func TestSoak(t *testing.T) {
@@ -54,6 +55,7 @@
 	if err != nil {
 		runSeed(t, Options{Seed: ciSeed, Machines: ciMachines, Duration: ciDuration, BinDir: binDir})
 		runSeed(t, Options{Seed: ciOverlaySeed, Machines: ciMachines, Duration: ciDuration, Overlay: true, OverlayOnly: true, BinDir: binDir})
+		runSeed(t, Options{Seed: ciReturnSeed, Machines: ciMachines, Duration: ciDuration, Moves: true, OverlayOnly: true, Returns: true, BinDir: binDir})
 		return
 	}
 	from, err := strconv.ParseUint(os.Getenv("SOAK_FROM"), 10, 64)
@@ -61,7 +63,7 @@
 		from = uint64(time.Now().UnixNano())
 	}
 	for i := range uint64(seeds) {
-		runSeed(t, Options{Seed: from + i, Machines: seedMachines, Duration: seedDuration, Moves: i%2 == 1, Overlay: true, OverlayOnly: i%4 == 3, BinDir: binDir})
+		runSeed(t, Options{Seed: from + i, Machines: seedMachines, Duration: seedDuration, Moves: i%2 == 1, Overlay: true, OverlayOnly: i%4 == 3, Returns: i%3 == 2, BinDir: binDir})
 	}
 	for _, r := range regressions {
 		t.Logf("seed %d: %s", r.seed, r.cause)
