Abort watches of the store's stand-in in the handler that serves them

The long run of the soak ended with a panic of the stand-in: a watch that was executed late, by a timer, was cut off. A fault of the test harness; endpoints of the stand-in had the same.

--- a/test/platform/standin/endpoint.go
+++ b/test/platform/standin/endpoint.go
@@ -41,12 +41,17 @@
 	}
 	response := httptest.NewRecorder()
 	answered := make(chan struct{})
+	var aborted any
 	go func() {
 		defer close(answered)
+		defer func() { aborted = recover() }()
 		e.store.ServeHTTP(response, r)
 	}()
 	select {
 	case <-answered:
+		if aborted != nil {
+			panic(aborted)
+		}
 	case <-e.silenced:
 	}
 	select {
--- a/test/platform/standin/store.go
+++ b/test/platform/standin/store.go
@@ -220,12 +220,12 @@
 		<-r.Context().Done()
 		return
 	case Delayed:
-		time.AfterFunc(executionDelay, func() { s.handle(httptest.NewRecorder(), r, &body) })
+		time.AfterFunc(executionDelay, func() { s.handleUnanswered(r, &body) })
 		<-r.Context().Done()
 		return
 	}
 	if fault == ResponseLost {
-		s.handle(httptest.NewRecorder(), r, &body)
+		s.handleUnanswered(r, &body)
 		panic(http.ErrAbortHandler)
 	}
 	if fault == Malformed {
@@ -236,6 +236,16 @@
 	s.handle(w, r, &body)
 }
 
+// handleUnanswered executes a call whose response nobody gets.
+func (s *Store) handleUnanswered(r *http.Request, body *Object) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	s.handle(httptest.NewRecorder(), r, body)
+}
+
 func (s *Store) handle(w http.ResponseWriter, r *http.Request, body *Object) {
 	rest := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
 	parts := strings.Split(rest, "/")
