Count the fields of a head while it is read

Cause: 48 KB were counted for such a head while it was read, and net/http keeps its complete fields in a map of some 500 KB. The fields were counted only once the head was complete.

--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -34,11 +34,13 @@
 	mu      sync.Mutex
 	changed *sync.Cond // an exchange has ended, or reading has stopped
 	memory  int64      // taken for the request that is being read
-	late    bool       // a header did not arrive in time
-	pending int        // exchanges that have not ended
-	last    *callerExchange
-	waiting bool // for the first byte of the next request
-	stopped bool // no further request is taken
+	// headRead is the number of bytes that were read since the start of its header.
+	headRead int
+	late     bool // a header did not arrive in time
+	pending  int  // exchanges that have not ended
+	last     *callerExchange
+	waiting  bool // for the first byte of the next request
+	stopped  bool // no further request is taken
 }
 
 func newCallerConn(s *CallerServer, conn net.Conn) *callerConn {
@@ -91,6 +93,7 @@
 		}
 	}
 	buffered := c.reader.Buffered()
+	c.headRead = 0
 	c.limit.start(c.server.Limits().HeaderBytes)
 	c.limit.recordOldRequest(c.reader)
 	r, err := http.ReadRequest(c.reader)
@@ -108,7 +111,7 @@
 	if r.ProtoMajor != 1 || r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return nil, &requestError{fmt.Errorf("proxy: request with protocol %q and host %q, want HTTP/1.x with a host", r.Proto, r.Host)}
 	}
-	return r, c.takeDecoded(r, buffered+int(c.memory/headReadFactor)-c.reader.Buffered())
+	return r, c.takeDecoded(r, buffered+c.headRead-c.reader.Buffered())
 }
 
 // requestError reports a request whose header cannot be read.
--- a/pkg/proxy/callerroom.go
+++ b/pkg/proxy/callerroom.go
@@ -12,8 +12,12 @@
 // errNoRoom is the error of a request for which there is no memory.
 var errNoRoom = errors.New("proxy: no memory for the request")
 
-// takeRead takes memory for a part of a header.
-func (c *callerConn) takeRead(bytes int) error { return c.take(bytes * headReadFactor) }
+// takeRead takes memory for a part of a header. Its complete fields are decoded while the
+// rest is still being read.
+func (c *callerConn) takeRead(read []byte) error {
+	c.headRead += len(read)
+	return c.take(len(read)*headReadFactor + headerLines(read)*headerFieldBytes)
+}
 
 // take takes memory of the listener for a part of a request. While there is none, it
 // waits: for earlier requests of the connection without a limit, since they end with
--- a/pkg/proxy/headlimit.go
+++ b/pkg/proxy/headlimit.go
@@ -15,11 +15,11 @@
 type headLimit struct {
 	io.Reader
 	left   int64
-	lines  int64                 // that may still be read
-	record *bytes.Buffer         // receives a copy of the bytes of the header, nil if not needed
-	active bool                  // a header is being read
-	onRead func(bytes int) error // called after each read of a header, may be nil
-	cause  error                 // why the header cannot be read further: its size, or an error of onRead
+	lines  int64                   // that may still be read
+	record *bytes.Buffer           // receives a copy of the bytes of the header, nil if not needed
+	active bool                    // a header is being read
+	onRead func(read []byte) error // called after each read of a header, may be nil
+	cause  error                   // why the header cannot be read further: its size, or an error of onRead
 }
 
 func newHeadLimit(r io.Reader) *headLimit {
@@ -66,13 +66,24 @@
 		_, _ = l.record.Write(p[:n]) // a buffer does not fail
 	}
 	if l.active && l.onRead != nil && n > 0 {
-		if l.cause = l.onRead(n); l.cause != nil {
+		if l.cause = l.onRead(p[:n]); l.cause != nil {
 			return 0, l.cause
 		}
 	}
 	return n, err
 }
 
+// headerLines returns the number of lines of a header in bytes that were read, without
+// those of a body that follows.
+func headerLines(read []byte) int {
+	for _, end := range []string{"\n\r\n", "\n\n"} {
+		if header, _, found := bytes.Cut(read, []byte(end)); found {
+			read = header
+		}
+	}
+	return bytes.Count(read, []byte{'\n'})
+}
+
 var errOldChunks = errors.New("proxy: HTTP/1.0 request with a transfer encoding")
 
 // recordOldRequest records the header that reader reads next from l, unless it is known
