--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -69,6 +69,8 @@
 		"The store has returned from an older copy of itself, in a new era. Entries are read again, and what this daemon had stored is stored again.")
 	eventOrderOutdated = telemetry.NewEvent(2230, "order_outdated", zapcore.InfoLevel,
 		"The store has returned from a copy with an order that a later one had replaced. The later one stays in force; the operator writes it again.")
+	eventEraUnreadable = telemetry.NewEvent(2231, "store_era_unreadable", zapcore.WarnLevel,
+		"A response of the store named no era, or one that cannot be read; the newest known one applies. Logged once.")
 	eventWorkspacesChanged = telemetry.NewEvent(2240, "workspaces_changed", zapcore.InfoLevel,
 		"A newer configuration changed workspaces or their keys; the event has the numbers of changed and removed workspaces, and of all workspaces and keys.")
 )
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -113,6 +113,7 @@
 	if p.Eras == nil {
 		p.Eras = &store.Eras{}
 	}
+	p.Eras.OnUnreadable = func(text string) { eventEraUnreadable.Log(logger, zap.String("era", text)) }
 	n := &Node{settings: s, platform: p, logger: logger, clock: clock.Boot{}, failed: make(chan error, 1)}
 	var err error
 	if n.tasks, err = ants.NewPool(maxTasks, ants.WithNonblocking(true)); err != nil {
--- a/pkg/store/era.go
+++ b/pkg/store/era.go
@@ -26,6 +26,12 @@
 // Eras holds the newest known era of the store, 0 if the store has named none. It is safe
 // for concurrent use.
 type Eras struct {
+	// OnUnreadable is called with the first era that could not be read, empty if a response
+	// named none although an earlier one did. It must be set before the first call.
+	OnUnreadable func(text string)
+
+	unreadable sync.Once
+
 	mu      sync.Mutex
 	current uint64
 	changed chan struct{}
@@ -48,6 +54,13 @@
 	return e.changed
 }
 
+// ReportUnreadable reports an era that could not be read. Only the first one is passed on.
+func (e *Eras) ReportUnreadable(text string) {
+	if e.OnUnreadable != nil {
+		e.unreadable.Do(func() { e.OnUnreadable(text) })
+	}
+}
+
 // Advance records an era. Earlier ones than the known one, and those above MaxEra, are
 // ignored.
 func (e *Eras) Advance(era uint64) {
--- a/test/platform/drill_test.go
+++ b/test/platform/drill_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -262,3 +263,77 @@
 	assert.Equal(t, requestCount(leaving, second), before, "requests to a target that has left, or to the version that was rolled back")
 	assert.Equal(t, d.moveState("v2"), "rolled_back")
 }
+
+// TestTwoReturns guards against a configuration, a departure or an order that is lost when
+// the store returns from copies twice within seconds, and rejects some machines meanwhile.
+func TestTwoReturns(t *testing.T) {
+	d := &deployment{t: t, store: standin.NewStore(t)}
+	t.Parallel()
+	t.Cleanup(d.stop)
+	d.configure(1, "/look/", "/order/")
+	var mu sync.Mutex
+	rejected := make(map[string]bool) // addresses at which the store rejects all calls
+	d.store.Inject(func(r *http.Request) standin.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if rejected[r.Host] {
+			return standin.Unavailable
+		}
+		return standin.NoFault
+	})
+	d.prepare = func(m *machine) {
+		m.store = d.store.NewEndpoint(t).Address
+		if len(d.machines) == 5 {
+			m.version, m.state = "v2", ""
+		}
+	}
+	d.startMachines(6)
+	d.sendRequests(60 * time.Millisecond)
+	time.Sleep(time.Second)
+	first := d.store.Copy()
+	d.writeOthers()
+	d.configure(2, "/look/", "/order/", "/two/")
+	leaving := d.machines[0]
+	leaving.setState("")
+	assert.Equal(t, leaving.remove(), http.StatusOK)
+	mu.Lock()
+	for _, m := range d.machines[1:3] {
+		rejected[m.store] = true
+	}
+	mu.Unlock()
+	d.returnFrom(first, 100*time.Millisecond)
+	d.configure(2, "/look/", "/order/", "/two/")
+	time.Sleep(500 * time.Millisecond)
+	second := d.store.Copy()
+	d.writeOthers()
+	time.Sleep(500 * time.Millisecond)
+	d.returnFrom(second, 100*time.Millisecond)
+	d.configure(2, "/look/", "/order/", "/two/")
+	d.configure(3, "/look/", "/order/", "/two/", "/three/")
+	bad := d.machines[5]
+	bad.target.Handle(proxytest.Fail(http.StatusInternalServerError))
+	bad.setState("ready")
+	d.order("v2", moveDuration)
+	deadline := time.Now().Add(applyTimeout + maxStretch)
+	for _, m := range d.machines {
+		eventually(t, "the new route is in force", time.Until(deadline), func() bool { return m.get("/three/") == http.StatusOK })
+	}
+	eventually(t, "the bad version is rolled back", moveDuration, func() bool { return d.moveState("v2") == "rolled_back" })
+	eventually(t, "the departure is stored again", maxStretch, func() bool {
+		entry := d.store.Get("nutmegstand-daemons", leaving.settings.Name)
+		return entry != nil && bytes.Contains(entry.Spec, []byte(leaving.id))
+	})
+	mu.Lock()
+	clear(rejected)
+	mu.Unlock()
+	before := requestCount(leaving, bad)
+	d.restartAll()
+	for _, m := range d.machines {
+		eventually(t, "the machine serves", recoveryTimeout, func() bool { return m.get("/three/") == http.StatusOK })
+	}
+	assert.Equal(t, leaving.sendHeartbeat("ready"), http.StatusOK)
+	for i := range 60 {
+		assert.Equal(t, d.machines[i%6].get("/order/1"), http.StatusOK)
+	}
+	assert.Equal(t, requestCount(leaving, bad), before, "requests to a target that has left, or to the version that was rolled back")
+}
