--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -41,8 +41,8 @@
 	// daemon is removed. It is longer than any partition or pause after which a
 	// daemon is expected to return.
 	entryMaxAge = 30 * time.Second
-	// maxHeartbeatDelay is the longest time for which a heartbeat may be in transit. Later
-	// after its start, a daemon gets no heartbeats of targets that left before it.
+	// maxHeartbeatDelay is the longest time for which a heartbeat may be in transit. One
+	// that arrives later than this after the start of the daemon was sent after the start.
 	maxHeartbeatDelay = 5 * time.Second
 	// olderPeerAge is the difference in start times from which on a peer counts as
 	// older. Daemons that were lost together start within less.
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -72,7 +73,7 @@
 
 func (f *Follower) refreshPlans(facts []fleet.Fact) {
 	current := *f.plans.Load()
-	next := make(map[string]*rankedPlan, len(current))
+	next := maps.Clone(current) // facts may have been read before those of the latest call
 	changed := false
 	for _, fact := range facts {
 		service, ok := serviceOfPlan(fact.Key)
@@ -80,7 +81,6 @@
 			continue
 		}
 		if old := current[service]; old != nil && old.rank >= fact.Rank {
-			next[service] = old
 			continue
 		}
 		plan, err := Decode[Plan](fact.Key, fact.Payload)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -465,3 +465,15 @@
 		})
 	}
 }
+
+// TestFactsOutOfOrder guards against a plan that is dropped by facts which were read before
+// it was set: tasks of several moves refresh the follower at the same time.
+func TestFactsOutOfOrder(t *testing.T) {
+	fact := func(service string, rank uint64, state State) fleet.Fact {
+		return fleet.Fact{Key: PlanKey(service), Rank: rank, Payload: Encode(Plan{Order: "1/v2", Service: service, Target: "v2", State: state})}
+	}
+	f := NewFollower(zap.NewNop())
+	f.Refresh([]fleet.Fact{fact("a", 1, Active), fact("b", 5, RolledBack)})
+	f.Refresh([]fleet.Fact{fact("a", 2, Active)}) // read before the plan of b was set
+	assert.Assert(t, !f.Allowed("b", "v2"), "the plan of another service was dropped")
+}
