Keep the soak's daemons alive while the store returns, and start them as a first start

All daemons are no longer killed from a copy until 2 s after the return from it. The platform's first start has firstStart true; so has the soak now.

--- a/test/platform/soak/faults.go
+++ b/test/platform/soak/faults.go
@@ -158,7 +158,14 @@
 
 // killAll kills the daemons of all machines that are free for a fault, and of the machine
 // that the caller has reserved if it is not nil, and starts them again.
+// It does nothing while the store returns from a copy: what the store lacks then is in the
+// memory of the daemons only.
 func (s *soak) killAll(downtime time.Duration, reserved *machine) error {
+	if !s.losses.TryLock() {
+		s.logEvent("daemons not killed, the store returns")
+		return nil
+	}
+	defer s.losses.Unlock()
 	var killed []*machine
 	for _, m := range s.machines {
 		if m != reserved && !m.reserve() {
--- a/test/platform/soak/returns.go
+++ b/test/platform/soak/returns.go
@@ -9,6 +9,9 @@
 	maxCopyAge     = 6 * time.Second
 	maxAway        = time.Second
 	maxReturnPause = 6 * time.Second
+	// storedAgain is the time after a return within which daemons have stored again what
+	// the store lacks.
+	storedAgain = 2 * time.Second
 )
 
 // put writes an object as the operator does, or deletes it if spec is nil.
@@ -34,6 +37,7 @@
 func (s *soak) runReturns(rng *rand.Rand, done <-chan struct{}) {
 	const name = "store returns"
 	for {
+		s.losses.Lock()
 		older := s.store.Copy()
 		time.Sleep(time.Duration(rng.Int64N(int64(maxCopyAge))))
 		away := time.Duration(rng.Int64N(int64(maxAway)))
@@ -59,6 +63,8 @@
 		s.storeFaultAt = time.Now()
 		s.mu.Unlock()
 		s.logEvent("%s, kind %d, away %s", name, kind, away)
+		time.Sleep(storedAgain)
+		s.losses.Unlock()
 		select {
 		case <-done:
 			return
--- a/test/platform/soak/soak.go
+++ b/test/platform/soak/soak.go
@@ -60,6 +60,7 @@
 	storeFaultAt  time.Time // last fault of the store
 	events        []string
 	activeFaults  map[string]bool   // non-exclusive faults by name and machine
+	losses        sync.Mutex        // held while all daemons are lost, or while the store may lack what they have stored
 	written       map[[2]string]any // what the operator has written, by kind and name; nil if it was deleted
 }
 
@@ -80,6 +81,10 @@
 	}
 	defer s.close()
 	s.awaitService("start", startTimeout)
+	for _, m := range s.machines {
+		m.settings.FirstStart = false
+		s.check(m.writeSettings())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	for _, m := range s.machines {
