--- a/test/platform/soak/soak_test.go
+++ b/test/platform/soak/soak_test.go
@@ -46,6 +46,7 @@
 	{33030, "all daemons were killed ten times during a move, which did not end in time; listed in KNOWN-RED.txt", true, true, false},
 	{44011, "a target got 26 requests within a second of its cold phase, since its daemon was killed in it; listed in KNOWN-RED.txt", false, true, false},
 	{44015, "fault of the soak test: all daemons were killed before they could store again what the store had lost", false, true, true},
+	{44024, "fault of the soak test: same cause as seed 44015", true, true, true},
 	{44027, "fault of the soak test: same cause as seed 44015", false, true, true},
 	{44036, "fault of the soak test: the daemons started together, but not as a first start, and did not find each other", true, true, true},
 }
