Withhold a version whose move another order has replaced

Found by reading: when the operator replaced an order under way, the version that it was moving to counted as an old one under the next order, with no controller to judge it. Since orders without a plan are followed, this began at once.

Cause: only versions that were rolled back stayed forbidden under a new order.

Evidence: TestOrderWithoutPlan/replaced_while_under_way before: the version is chosen beside the old one.

Change: a version whose move has not begun to close the old one stays forbidden as well. One that is closing is in use, its old targets may be gone.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -175,14 +175,15 @@
 	}
 }
 
-// forbiddenVersions returns the versions that stay forbidden under a new order:
-// those that the previous plan forbade or rolled back, except the new target.
+// forbiddenVersions returns the versions that stay forbidden under a new order: those that
+// the previous plan forbade, rolled back or had not yet moved to, except the new target.
 func forbiddenVersions(previous *Plan, target string) []string {
 	if previous == nil {
 		return nil
 	}
 	forbidden := slices.Clone(previous.Forbidden)
-	if previous.State == RolledBack && !slices.Contains(forbidden, previous.Target) {
+	unproven := previous.State == Active && !previous.Closing
+	if (previous.State == RolledBack || unproven) && !slices.Contains(forbidden, previous.Target) {
 		forbidden = append(forbidden, previous.Target)
 	}
 	return slices.DeleteFunc(forbidden, func(v string) bool { return v == target })
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -431,6 +431,9 @@
 	active := Plan{Order: "7/v3", OrderRevision: 20, Service: testService, Target: "v3", State: Active, Share: 1, Closing: true}
 	later := Plan{Order: "7/v4", OrderRevision: 30, Service: testService, Target: "v4", State: RolledBack}
 	onlyOld, onlyNew, both := []string{"v1"}, []string{"v3", "v3"}, []string{"v1", "v3", "v3"}
+	underWay := Plan{Order: "5/v3", OrderRevision: 5, Service: testService, Target: "v3", State: Active, Share: 0.08}
+	closing := Plan{Order: "5/v3", OrderRevision: 5, Service: testService, Target: "v3", State: Active, Share: 1, Closing: true}
+	next := Order{Service: testService, Target: "v4", Created: 7, Revision: 20}
 	for name, c := range map[string]struct {
 		order  Order
 		plan   *Plan
@@ -444,6 +447,8 @@
 		"plan of a later order":       {order(""), &later, Rank(31), both},
 		"completed, plan not known":   {order(Completed), nil, 0, onlyNew},
 		"rolled back, plan not known": {order(RolledBack), &earlier, Rank(10), onlyOld},
+		"replaced while under way":    {next, &underWay, Rank(10), onlyOld},
+		"replaced while closing":      {next, &closing, Rank(10), both},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := NewFollower(zap.NewNop())
