Wait until the controller is no watcher in TestControllerRejectedByStore

Traced by the code: while the watchers are slow, standbys watch the configuration, and the controller ranks among them. The condition is the same and must hold before the store rejects the controller; the test waits for it.

--- a/test/platform/rollout_test.go
+++ b/test/platform/rollout_test.go
@@ -90,7 +90,9 @@
 	mu.Lock()
 	rejected := controller
 	mu.Unlock()
-	assert.Assert(t, !endpoints[rejected].Watching(), "a controller that watches gives up its role anyway")
+	// A controller that watches gives up its role anyway. It does so as a standby while the
+	// watchers are slow.
+	eventually(t, "the controller is no watcher", recoveryTimeout, func() bool { return !endpoints[rejected].Watching() })
 	d.store.Inject(func(r *http.Request) standin.Fault {
 		if r.Host == rejected {
 			return standin.Unavailable
