Count the lines of a head once

Read once more: the lines of a head were counted for responses and again, without those of a body, for the memory of callers, and the bytes that were read were counted beside the limit that has them. The limit counts both and passes them on. The tests of pkg/proxy pass with the race detector.

--- a/pkg/proxy/callerconn.go
+++ b/pkg/proxy/callerconn.go
@@ -34,13 +34,11 @@
 	mu      sync.Mutex
 	changed *sync.Cond // an exchange has ended, or reading has stopped
 	memory  int64      // taken for the request that is being read
-	// headRead is the number of bytes that were read since the start of its header.
-	headRead int
-	late     bool // a header did not arrive in time
-	pending  int  // exchanges that have not ended
-	last     *callerExchange
-	waiting  bool // for the first byte of the next request
-	stopped  bool // no further request is taken
+	late    bool       // a header did not arrive in time
+	pending int        // exchanges that have not ended
+	last    *callerExchange
+	waiting bool // for the first byte of the next request
+	stopped bool // no further request is taken
 }
 
 func newCallerConn(s *CallerServer, conn net.Conn) *callerConn {
@@ -92,14 +90,14 @@
 			_, _ = c.reader.Discard(1)
 		}
 	}
-	buffered := c.reader.Buffered()
-	c.headRead = 0
-	c.limit.start(c.server.Limits().HeaderBytes)
+	buffered, maxRead := c.reader.Buffered(), c.server.Limits().HeaderBytes
+	c.limit.start(maxRead)
 	c.limit.recordOldRequest(c.reader)
 	r, err := http.ReadRequest(c.reader)
 	if err == nil && !r.ProtoAtLeast(1, 1) {
 		err = c.limit.checkOldRequest()
 	}
+	read := maxRead - int(c.limit.left)
 	c.limit.stop()
 	if cause := c.limit.cause; cause != nil {
 		return nil, &requestError{cause}
@@ -111,7 +109,7 @@
 	if r.ProtoMajor != 1 || r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return nil, &requestError{fmt.Errorf("proxy: request with protocol %q and host %q, want HTTP/1.x with a host", r.Proto, r.Host)}
 	}
-	return r, c.takeDecoded(r, buffered+c.headRead-c.reader.Buffered())
+	return r, c.takeDecoded(r, buffered+read-c.reader.Buffered())
 }
 
 // requestError reports a request whose header cannot be read.
--- a/pkg/proxy/callerroom.go
+++ b/pkg/proxy/callerroom.go
@@ -14,9 +14,8 @@
 
 // takeRead takes memory for a part of a header. Its complete fields are decoded while the
 // rest is still being read.
-func (c *callerConn) takeRead(read []byte) error {
-	c.headRead += len(read)
-	return c.take(len(read)*headReadFactor + headerLines(read)*headerFieldBytes)
+func (c *callerConn) takeRead(bytes, lines int) error {
+	return c.take(bytes*headReadFactor + lines*headerFieldBytes)
 }
 
 // take takes memory of the listener for a part of a request. While there is none, it
--- a/pkg/proxy/headlimit.go
+++ b/pkg/proxy/headlimit.go
@@ -15,11 +15,11 @@
 type headLimit struct {
 	io.Reader
 	left   int64
-	lines  int64                   // that may still be read
-	record *bytes.Buffer           // receives a copy of the bytes of the header, nil if not needed
-	active bool                    // a header is being read
-	onRead func(read []byte) error // called after each read of a header, may be nil
-	cause  error                   // why the header cannot be read further: its size, or an error of onRead
+	lines  int64                        // that may still be read
+	record *bytes.Buffer                // receives a copy of the bytes of the header, nil if not needed
+	active bool                         // a header is being read
+	onRead func(bytes, lines int) error // called after each read of a header, may be nil
+	cause  error                        // why the header cannot be read further: its size, or an error of onRead
 }
 
 func newHeadLimit(r io.Reader) *headLimit {
@@ -59,14 +59,16 @@
 	}
 	n, err := l.Reader.Read(p)
 	l.left -= int64(n)
-	if l.active {
-		l.lines -= int64(bytes.Count(p[:n], []byte{'\n'})) // those of the body too if the header ends here
-	}
 	if l.record != nil {
 		_, _ = l.record.Write(p[:n]) // a buffer does not fail
 	}
-	if l.active && l.onRead != nil && n > 0 {
-		if l.cause = l.onRead(p[:n]); l.cause != nil {
+	if !l.active || n == 0 {
+		return n, err
+	}
+	lines := headerLines(p[:n])
+	l.lines -= int64(lines)
+	if l.onRead != nil {
+		if l.cause = l.onRead(n, lines); l.cause != nil {
 			return 0, l.cause
 		}
 	}
