Keep what a new era does to the entry with the entry

Read once more: the entry returned a delay after which its caller had to wake it, beside the functions of the entry that do so; the tracker counted heartbeats of which only "more than one" was asked, and compared the start of a target twice. The tests of pkg/node pass with the race detector.

--- a/pkg/node/entry.go
+++ b/pkg/node/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,11 @@
 	// acknowledgeTimeout is the time within which a departure is acknowledged, or the
 	// target is told to ask again. Targets wait for a second.
 	acknowledgeTimeout = 800 * time.Millisecond
+	// maxDepartureDelay and maxEntryDelay bound the random delay after which a daemon
+	// stores its entry again in a new era, with and without departures. All daemons do so,
+	// and the store bounds their calls.
+	maxDepartureDelay = time.Second
+	maxEntryDelay     = 10 * time.Second
 	// saveAttempts bounds the calls that store an entry which others change meanwhile.
 	saveAttempts = 4
 )
@@ -86,6 +92,19 @@
 	}
 }
 
+// storeAgain marks the stored entry as unknown, since the store has returned from a copy
+// that may lack it, and stores it again after a random delay.
+func (e *storedEntry) storeAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stored = nil
+	maxDelay := maxEntryDelay
+	if len(e.entry.Left) > 0 {
+		maxDelay = maxDepartureDelay
+	}
+	time.AfterFunc(rand.N(maxDelay), e.requestSave)
+}
+
 // add adds a departure to the entry. The caller holds mu.
 func (e *storedEntry) add(id string, startMS int64) {
 	left := maps.Clone(e.entry.Left)
--- a/pkg/node/eras.go
+++ b/pkg/node/eras.go
@@ -2,23 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"time"
 
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 )
 
-const (
-	// eraKey is the key of the fact whose rank is the newest known era of the store.
-	eraKey = "store-era"
-	// maxDepartureDelay and maxEntryDelay bound the random delay after which a daemon
-	// stores its entry again in a new era, with and without departures. All daemons do so,
-	// and the store bounds their calls.
-	maxDepartureDelay = time.Second
-	maxEntryDelay     = 10 * time.Second
-)
+// eraKey is the key of the fact whose rank is the newest known era of the store.
+const eraKey = "store-era"
 
 // followEras passes each new era of the store on to the fleet, and stores again what the
 // store may have lost, until ctx ends.
@@ -29,8 +20,7 @@
 			n.fleet.SetFact(eraKey, era, nil)
 			if known > 0 {
 				eventStoreReturned.Log(n.logger, zap.Uint64("era", era))
-				delay := n.entry.invalidate()
-				time.AfterFunc(delay, n.entry.requestSave)
+				n.entry.storeAgain()
 			}
 			known = era
 		}
@@ -51,15 +41,3 @@
 		}
 	}
 }
-
-// invalidate marks the stored entry as unknown, since the store has returned from a copy
-// that may lack it. It returns the delay after which the entry is to be stored again.
-func (e *storedEntry) invalidate() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stored = nil
-	if len(e.entry.Left) > 0 {
-		return rand.N(maxDepartureDelay)
-	}
-	return rand.N(maxEntryDelay)
-}
--- a/pkg/node/target.go
+++ b/pkg/node/target.go
@@ -35,7 +35,7 @@
 	mu               sync.Mutex
 	released         bool // there is evidence that the target has not left
 	current          *Announcement
-	heartbeats       int              // of the current target, without repeated and late ones
+	heardAgain       bool             // the current target has sent more than one heartbeat, without repeated and late ones
 	left             map[string]int64 // start times of targets that have left, by ID
 	leaving          bool
 	silent           bool
@@ -78,12 +78,9 @@
 	}
 	t.lastAnnouncement, t.silent = t.clock.Now(), false
 	first := t.current == nil || !t.released
-	changed := first || t.current.ID != a.ID || t.current.StartMS != a.StartMS || t.current.Leaving != a.Leaving || t.current.Slots != a.Slots || t.current.Version != a.Version
-	if t.current != nil && t.current.ID == a.ID && t.current.StartMS == a.StartMS {
-		t.heartbeats++
-	} else {
-		t.heartbeats = 1
-	}
+	sameStart := t.current != nil && t.current.ID == a.ID && t.current.StartMS == a.StartMS
+	changed := first || !sameStart || t.current.Leaving != a.Leaving || t.current.Slots != a.Slots || t.current.Version != a.Version
+	t.heardAgain = sameStart
 	t.current = a
 	if changed {
 		eventTargetAnnounced.Log(t.logger, zap.String("target", a.ID), zap.String("version", a.Version), zap.Int("slots", a.Slots),
@@ -149,7 +146,7 @@
 func (t *targetTracker) sentHeartbeatsSince(instant clock.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.heartbeats > 1 && t.lastAnnouncement > instant
+	return t.heardAgain && t.lastAnnouncement > instant
 }
 
 // rejectionReason returns why an announcement does not match the local target, or an
