--- a/test/platform/standin/drill.go
+++ b/test/platform/standin/drill.go
@@ -60,5 +60,13 @@
 	s.notify()
 }
 
+// reject responds to a call that is not executed.
+func (s *Store) reject(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nameEra(w)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // nameEra sets the header that names the era. The caller holds mu.
 func (s *Store) nameEra(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.Itoa(s.era)) }
--- a/test/platform/standin/endpoint.go
+++ b/test/platform/standin/endpoint.go
@@ -8,13 +8,15 @@
 	"testing"
 )
 
-// Endpoint is an address of a Store that can stop answering while the others work.
+// Endpoint is an address of a Store that can stop answering, or reject all calls, while the
+// others work.
 type Endpoint struct {
 	Address string
 
 	store    *Store
 	watches  atomic.Int64 // watches of the configuration in progress
 	silenced chan struct{}
+	rejects  atomic.Bool
 }
 
 // NewEndpoint returns another address of the store.
@@ -33,8 +35,15 @@
 // Silence stops all answers, those to watches in progress included.
 func (e *Endpoint) Silence() { close(e.silenced) }
 
+// Reject sets whether all calls get status 503. Watches in progress go on.
+func (e *Endpoint) Reject(rejects bool) { e.rejects.Store(rejects) }
+
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.rejects.Load() {
+		e.store.reject(w)
+		return
+	}
 	if r.URL.Query().Get("watch") != "" && strings.HasSuffix(r.URL.Path, "/config") {
 		e.watches.Add(1)
 		defer e.watches.Add(-1)
