Do not take a reset during an upload for the end of a response

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports a reset to one call only. If a write of the request body gets the error, the next read returns the end of the connection, which marks the end of a body without a length. The goroutine that writes the body closed the connection after its error, but the read could reach the end before that.

Evidence: TestEndDuringUpload makes a write get the error of the reset, and holds the return of that write until a read has reached the end of the connection (real sockets, through both daemons).

Change: at the end of a body without a length, the connection is closed, which ends a write that waits for the peer, and the first error of all its writes is looked at under the lock that is held during each write. Any error means that the connection was lost, except EPIPE: a write fails with it if the peer had closed the connection before the reset, so the response is complete.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -89,7 +89,8 @@
 	net.Conn
 	limit           *headLimit
 	reader          *bufio.Reader
-	writer          *bufio.Writer
+	writes          *writeRecorder
+	writer          *bufio.Writer // writes to writes
 	idleSince       time.Time
 	peerIdleTimeout time.Duration // announced by the peer, 0 if unknown
 	userTimeout     time.Duration // TCP_USER_TIMEOUT of the socket
@@ -102,8 +103,16 @@
 	if err != nil {
 		return nil, &ConnError{Phase: "dial", Cause: err}
 	}
-	limit := newHeadLimit(c)
-	return &conn{Conn: c, limit: limit, userTimeout: unackedTimeout, reader: bufio.NewReaderSize(limit, connBuffer), writer: bufio.NewWriterSize(c, connBuffer)}, nil
+	return newConn(c), nil
+}
+
+// newConn returns a connection on c, whose user timeout is unackedTimeout.
+func newConn(c net.Conn) *conn {
+	limit, writes := newHeadLimit(c), &writeRecorder{Writer: c}
+	return &conn{
+		Conn: c, limit: limit, writes: writes, userTimeout: unackedTimeout,
+		reader: bufio.NewReaderSize(limit, connBuffer), writer: bufio.NewWriterSize(writes, connBuffer),
+	}
 }
 
 // discard reads the body of a response that nobody needs, and reports whether its end
@@ -290,11 +299,14 @@
 		c.used = true
 		if request.idHeader == "" || response.Header.Get(request.idHeader) == request.id ||
 			first && request.notRunHeader != "" && response.Header.Get(request.notRunHeader) != "" && response.Header.Get(request.idHeader) == "" {
+			if endsWithConnection(response) && response.Body != http.NoBody {
+				response.Body = &unframedBody{response.Body, c}
+			}
 			x.response = response
 			return nil
 		}
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			break // the body is delimited by the end of the connection
+		if endsWithConnection(response) {
+			break
 		}
 		if !c.discard(response.Body) {
 			break
@@ -316,8 +328,7 @@
 		return false // the context has ended and the connection is being closed
 	}
 	r := x.response
-	untilClose := r.ContentLength < 0 && len(r.TransferEncoding) == 0
-	if r.Close || untilClose || x.conn.reader.Buffered() > 0 {
+	if r.Close || endsWithConnection(r) || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return false
 	}
