Reject responses whose status line is none of HTTP/1.1

What callers saw: a target in trouble sent a response with status 000 whose body looked like a response. The caller got that body as the response.

Cause: net/http accepts any three characters that are a number as a status code. Every code below 200 counted as that of an interim response, which is skipped, so the next bytes were read as the response. The same happened to 099, +20, -00, and to 101, which ends HTTP on the connection.

Evidence: TestMalformedStatusLine, a target that sends such a status line with the ID and the signature of the request, through both daemons. Before, five status lines followed by the body of a response gave the caller status 200 with that body: 000 (with and without a reason), 099, +20, -00 and 101. The others were rejected already, the same without such a body.

Change: pkg/responsehead checks the bytes of a response's head as they are received: a version, and a status code of three digits from 100 on. The error ends the read of the head, so the outcome is unknown, as with any bytes that are no response: a repeatable request is sent to another target, the others get 502. A 101 is no interim response, and no request asks for it. Status codes from 600 on and several blanks before the code are passed on as before (TestUnusualStatusLine). The check is on each connection of pkg/proxy, to targets and to other daemons.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -81,7 +81,10 @@
 	return ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout()
 }
 
-var errMismatchedResponse = errors.New("answer to another request")
+var (
+	errMismatchedResponse = errors.New("answer to another request")
+	errProtocolSwitched   = errors.New("the protocol was switched without a request to do so")
+)
 
 // conn is an HTTP/1.1 connection to a target or to another daemon. It carries
 // one exchange at a time.
@@ -281,12 +284,7 @@
 func (x *exchange) receive(request *outboundRequest) error {
 	c := x.conn
 	for stale, interim := 0, 0; stale <= maxStaleResponses && interim <= maxInterimResponses; {
-		c.limit.startLines(maxResponseHeader, maxResponseLines)
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.method})
-		if err != nil && c.limit.exceeded() {
-			err = errHeaderTooLarge
-		}
-		c.limit.stop()
+		response, err := c.readHead(request.method)
 		if err != nil {
 			return &ConnError{Phase: "read", Sent: true, Cause: err}
 		}
@@ -315,6 +313,25 @@
 	return &ConnError{Phase: "answer", Sent: true, Cause: errMismatchedResponse}
 }
 
+// readHead reads the header of the response to a request with the given method.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	received, _ := c.reader.Peek(c.reader.Buffered()) // does not read
+	c.limit.startResponse(maxResponseHeader, maxResponseLines, received)
+	defer c.limit.stop()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	switch {
+	case c.limit.cause != nil:
+		return nil, c.limit.cause
+	case err != nil && c.limit.exceeded():
+		return nil, errHeaderTooLarge
+	case err != nil:
+		return nil, err
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return nil, errProtocolSwitched
+	}
+	return response, nil
+}
+
 // abort closes the connection.
 func (x *exchange) abort() {
 	x.stop()
--- a/pkg/proxy/headlimit.go
+++ b/pkg/proxy/headlimit.go
@@ -7,6 +7,8 @@
 	"io"
 	"math"
 	"net/textproto"
+
+	"nutmegstand.example/nutmegstand/pkg/responsehead"
 )
 
 // headLimit bounds the bytes and lines that are read for one message header. The parsers
@@ -19,7 +21,8 @@
 	record *bytes.Buffer                // receives a copy of the bytes of the header, nil if not needed
 	active bool                         // a header is being read
 	onRead func(bytes, lines int) error // called after each read of a header, may be nil
-	cause  error                        // why the header cannot be read further: its size, or an error of onRead
+	syntax *responsehead.Scanner        // checks the header of a response, nil for a request
+	cause  error                        // why the header cannot be read further: its size, its syntax, or an error of onRead
 }
 
 func newHeadLimit(r io.Reader) *headLimit {
@@ -33,15 +36,19 @@
 	l.left, l.lines, l.active, l.cause = int64(bytes), math.MaxInt64, true, nil
 }
 
-// startLines begins a header of at most the given size and number of lines.
-func (l *headLimit) startLines(bytes, lines int) {
+// startResponse begins the header of a response, of at most the given size and number of
+// lines. received is the part of it that has been read already.
+func (l *headLimit) startResponse(bytes, lines int, received []byte) {
 	l.start(bytes)
 	l.lines = int64(lines)
+	l.syntax = &responsehead.Scanner{}
+	l.cause = l.syntax.Scan(received)
 }
 
 // stop ends the header. What follows is not bounded.
 func (l *headLimit) stop() {
 	l.left, l.lines, l.active, l.record = math.MaxInt64, math.MaxInt64, false, nil
+	l.syntax = nil
 }
 
 func (l *headLimit) exceeded() bool { return l.left <= 0 || l.lines <= 0 }
@@ -65,6 +72,11 @@
 	if !l.active || n == 0 {
 		return n, err
 	}
+	if l.syntax != nil {
+		if l.cause = l.syntax.Scan(p[:n]); l.cause != nil {
+			return 0, l.cause
+		}
+	}
 	lines := headerLines(p[:n])
 	l.lines -= int64(lines)
 	if l.onRead != nil {
