Check the status and the head of responses of the product's own store

What callers would have seen: a daemon believed any response of the store whose body could be decoded: one with status 000, one of another protocol, one in whose head a field name held a blank or a control byte, and a failure (404, 500, 503). A write so answered counted as done.

Cause: the client of hertz accepts such heads and reports status 000 as 200, and the status was not looked at.

Change: the client of net/http, with responsehead.Check, and a status other than 200 is an error. The head of a hertz response cannot be checked after it was parsed, and its connections are not at hand here as they are in pkg/target. NewClient cannot fail any more.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -113,9 +113,7 @@
 	if d.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
 	}
-	if d.store, err = httpstore.NewClient(d.settings.Store.Address, time.Duration(d.settings.Store.Timeout)); err != nil {
-		return err
-	}
+	d.store = httpstore.NewClient(d.settings.Store.Address, time.Duration(d.settings.Store.Timeout))
 	d.peers = link.NewPeers(link.DialTCP)
 	d.member = domain.NewMember(domain.Options{
 		Name: d.settings.Name, Address: d.settings.Advertise, Domain: d.settings.Domain,
--- a/pkg/responsehead/headtest/headtest.go
+++ b/pkg/responsehead/headtest/headtest.go
@@ -1,7 +1,14 @@
-// Package headtest holds lines of response heads that are malformed, for the tests of all
-// packages that read responses.
+// Package headtest holds lines of response heads that are malformed, and a server that
+// sends them, for the tests of all packages that read responses.
 package headtest
 
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+)
+
 // StatusLines are status lines that no response of HTTP/1.1 to a request without an
 // upgrade has.
 var StatusLines = []string{
@@ -16,3 +23,38 @@
 	"X\rTrace: 1", "X-Trace\r: 1", "X\xa0Trace: 1", "X(Trace): 1", ": 1", "X-Trace", " X-Trace: 1", "\tX-Trace: 1", " : 1",
 	"Content-Length : 2", "Content Length: 2", " Content-Length: 2", "Transfer-Encoding : chunked",
 }
+
+// Folded reports whether a line of Fields can be read as the rest of a folded value, which
+// net/http accepts.
+func Folded(line string) bool { return line[0] == ' ' || line[0] == '\t' }
+
+// Serve starts a server that reads one request on each connection, writes the given bytes
+// and closes the connection. It returns the address of the server.
+func Serve(t testing.TB, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go respond(conn, response)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func respond(conn net.Conn, response string) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_ = request.Body.Close() // reads it: unread bytes would reset the connection
+	_, _ = conn.Write([]byte(response))
+}
--- a/pkg/store/httpstore/client.go
+++ b/pkg/store/httpstore/client.go
@@ -1,17 +1,17 @@
 package httpstore
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"net"
+	"net/http"
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/consts"
-
+	"nutmegstand.example/nutmegstand/pkg/responsehead"
 	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
@@ -21,27 +21,33 @@
 	watchMargin = 2 * time.Second
 	// maxWatch bounds the wait of one watch call.
 	maxWatch = 30 * time.Second
+	// maxIdleConns is the number of idle connections that are kept for later calls.
+	maxIdleConns = 4
+	// idleTimeout is the time after which an idle connection is closed.
+	idleTimeout = 10 * time.Second
 )
 
-// Client implements store.Store over HTTP.
+// Client implements store.Store over HTTP. It uses the client of net/http, since that of
+// hertz does not tell a response with status 000 from one with status 200.
 type Client struct {
 	url     string
 	timeout time.Duration
-	http    *client.Client
+	http    *http.Client
 }
 
 var _ store.Store = (*Client)(nil)
 
 // NewClient returns a client for the store at address (host:port). timeout bounds
 // every call except Watch.
-func NewClient(address string, timeout time.Duration) (*Client, error) {
-	// For the few connections to the store, the standard dialer uses less memory
-	// than netpoll.
-	c, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(timeout))
-	if err != nil {
-		return nil, &store.UnavailableError{Op: "connect", Cause: err}
+func NewClient(address string, timeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: timeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+	return &Client{
+		url: "http://" + address + Path, timeout: timeout,
+		http: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 	}
-	return &Client{url: "http://" + address + Path, timeout: timeout, http: c}, nil
 }
 
 // Get implements store.Store.
@@ -104,7 +110,7 @@
 	if err != nil {
 		return response{}, &store.UnavailableError{Op: req.Op, Cause: err}
 	}
-	resp, err := c.exchange(ctx, body, timeout)
+	resp, err := c.post(ctx, body, timeout)
 	if err != nil {
 		return response{}, toStoreError(req, err)
 	}
@@ -114,40 +120,32 @@
 	return resp, nil
 }
 
-// exchange posts body and returns early if ctx ends. The HTTP request then
-// continues in the background until its timeout, since hertz does not observe ctx
-// while it waits for a response.
-func (c *Client) exchange(ctx context.Context, body []byte, timeout time.Duration) (response, error) {
-	type result struct {
-		resp response
-		err  error
-	}
-	done := make(chan result, 1)
-	go func() {
-		resp, err := c.post(context.WithoutCancel(ctx), body, timeout)
-		done <- result{resp, err}
-	}()
-	select {
-	case res := <-done:
-		return res.resp, res.err
-	case <-ctx.Done():
-		return response{}, ctx.Err()
-	}
-}
-
+// post posts body and decodes the response.
 func (c *Client) post(ctx context.Context, body []byte, timeout time.Duration) (response, error) {
-	httpRequest, httpResponse := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(httpRequest)
-	defer protocol.ReleaseResponse(httpResponse)
-	httpRequest.SetRequestURI(c.url)
-	httpRequest.SetMethod(consts.MethodPost)
-	httpRequest.SetBody(body)
-	var resp response
-	if err := c.http.DoTimeout(ctx, httpRequest, httpResponse, timeout); err != nil {
-		return resp, err
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(body))
+	if err != nil {
+		return response{}, err
 	}
-	if err := json.Unmarshal(httpResponse.Body(), &resp); err != nil {
-		return resp, &CallError{Status: httpResponse.StatusCode(), Message: err.Error()}
+	httpResponse, err := c.http.Do(httpRequest)
+	if err != nil {
+		return response{}, err
+	}
+	defer func() { _ = httpResponse.Body.Close() }()
+	if err := responsehead.Check(httpResponse); err != nil {
+		return response{}, err
+	}
+	content, err := io.ReadAll(httpResponse.Body)
+	if err != nil {
+		return response{}, err
+	}
+	if httpResponse.StatusCode != http.StatusOK {
+		return response{}, &CallError{Status: httpResponse.StatusCode, Message: "unexpected status"}
+	}
+	var resp response
+	if err := json.Unmarshal(content, &resp); err != nil {
+		return response{}, &CallError{Status: httpResponse.StatusCode, Message: err.Error()}
 	}
 	return resp, nil
 }
--- a/pkg/store/httpstore/contract_test.go
+++ b/pkg/store/httpstore/contract_test.go
@@ -24,8 +24,7 @@
 	h.POST(httpstore.Path, httpstore.Handler(backing))
 	go func() { _ = h.Run() }()
 	t.Cleanup(func() { _ = h.Close() })
-	client, err := httpstore.NewClient(address, time.Second)
-	assert.NilError(t, err)
+	client := httpstore.NewClient(address, time.Second)
 	assert.Assert(t, waitFor(func() bool {
 		_, _, err := client.List(t.Context(), "")
 		return err == nil
--- a/test/scenario/mesh.go
+++ b/test/scenario/mesh.go
@@ -78,9 +78,7 @@
 	}
 	m.storeVM = &vm{name: "store", ip: ip}
 	address := m.storeVM.address(portStore)
-	if m.store, err = httpstore.NewClient(address, storeTimeout); err != nil {
-		return err
-	}
+	m.store = httpstore.NewClient(address, storeTimeout)
 	if m.storeVM.daemon, err = m.fleet.Start("store", "nutmegstore", "-listen", address); err != nil {
 		return err
 	}
