Check the heads of responses in nutmegctl

What operators would have seen: bytes that are no response, for example with status 000, counted as the success of a command if their body could be decoded.

Cause: the client of hertz, as in pkg/store/httpstore.

Evidence: pkg/ctl.TestMalformedHead. Before, 25 of 31 malformed heads were believed. TestCutResponse, a body without a length that is cut at each byte, passed before.

Change: the client of net/http with responsehead.Check. A server whose response is malformed counts as unreachable, so the next one is tried, as with other bytes that are no response; the key of an apply prevents a second application. Errors name the server once, as before.

Result: both tests pass, and the other tests of pkg/ctl and pkg/admin with the race detector.

--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -1,22 +1,23 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
 
-	hertz "github.com/cloudwego/hertz/pkg/app/client"
-	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/consts"
-
 	"nutmegstand.example/nutmegstand/pkg/admin"
+	"nutmegstand.example/nutmegstand/pkg/responsehead"
 )
 
 // dialTimeout bounds the wait for a connection to an unreachable server.
@@ -41,7 +42,7 @@
 
 // client sends each request to the first server that responds.
 type client struct {
-	http    *hertz.Client
+	http    *http.Client
 	servers []string
 	scheme  string
 	token   string
@@ -49,8 +50,12 @@
 }
 
 func newClient(servers []string, token, caFile string, timeout time.Duration) (*client, error) {
-	c := &client{servers: servers, scheme: "http://", token: token, timeout: timeout}
-	options := []hertzconfig.ClientOption{hertz.WithDialer(standard.NewDialer()), hertz.WithDialTimeout(dialTimeout)}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	c := &client{
+		servers: servers, scheme: "http://", token: token, timeout: timeout,
+		http: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+	}
 	if caFile != "" {
 		pem, err := os.ReadFile(caFile)
 		if err != nil {
@@ -61,18 +66,14 @@
 			return nil, &UsageError{Message: "-ca-file holds no certificate"}
 		}
 		c.scheme = "https://"
-		options = append(options, hertz.WithTLSConfig(&tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}))
-	}
-	var err error
-	if c.http, err = hertz.NewClient(options...); err != nil {
-		return nil, err
+		transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}
 	}
 	return c, nil
 }
 
 // get sends a GET request to path with a query.
 func (c *client) get(ctx context.Context, path string, query map[string]string, into any) error {
-	return c.send(ctx, consts.MethodGet, path, query, nil, into)
+	return c.send(ctx, http.MethodGet, path, query, nil, into)
 }
 
 // post sends a POST request to path with body encoded as JSON.
@@ -81,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	return c.send(ctx, consts.MethodPost, path, nil, data, into)
+	return c.send(ctx, http.MethodPost, path, nil, data, into)
 }
 
 // send tries the servers in order until one responds. An apply can reach more
@@ -103,29 +104,41 @@
 }
 
 func (c *client) exchange(ctx context.Context, server, method, path string, query map[string]string, body []byte) (int, []byte, error) {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(response)
-	request.SetMethod(method)
-	request.SetRequestURI(c.scheme + server + path)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+server+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	values := url.Values{}
 	for name, value := range query {
 		if value != "" {
-			request.URI().QueryArgs().Add(name, value)
+			values.Set(name, value)
 		}
 	}
-	request.SetHeader("Authorization", "Bearer "+c.token)
+	request.URL.RawQuery = values.Encode()
+	request.Header.Set("Authorization", "Bearer "+c.token)
 	if body != nil {
-		request.SetBody(body)
-		request.SetHeader("Content-Type", "application/json")
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		var urlErr *url.Error
+		if errors.As(err, &urlErr) {
+			err = urlErr.Err // without the URL, which names the server again
+		}
+		return 0, nil, err
 	}
-	if err := c.http.DoTimeout(ctx, request, response, c.timeout); err != nil {
+	defer func() { _ = response.Body.Close() }()
+	if err := responsehead.Check(response); err != nil {
 		return 0, nil, err
 	}
-	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, content, err
 }
 
 func decodeResponse(server string, status int, data []byte, into any) error {
-	if status != consts.StatusOK {
+	if status != http.StatusOK {
 		var body admin.ErrorBody
 		if err := json.Unmarshal(data, &body); err != nil || body.Error == nil {
 			return &ResponseError{Server: server, Status: status}
