Bound the head of a response of the product's own store

The client of net/http, which replaced that of hertz, reads heads of up to 10 MB by default. 64 KB are read now, as from the platform's store. Nobody has seen such a head; found by reading the change. The tests of pkg/store/httpstore pass with the race detector.

--- a/pkg/store/httpstore/client.go
+++ b/pkg/store/httpstore/client.go
@@ -23,6 +23,8 @@
 	maxWatch = 30 * time.Second
 	// maxIdleConns is the number of idle connections that are kept for later calls.
 	maxIdleConns = 4
+	// maxResponseHeader is the size in bytes of the largest response header.
+	maxResponseHeader = 64 << 10
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 10 * time.Second
 )
@@ -43,6 +45,7 @@
 	dialer := &net.Dialer{Timeout: timeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 	return &Client{
 		url: "http://" + address + Path, timeout: timeout,
