Reject responses with a control byte in a field value

What callers would have seen, on the product's own interface only: a line of a response's head whose value held a NUL, another control byte or a CR was passed on to them.

Cause: as with field names, hertz accepts any byte but LF. net/http, which reads the responses of the platform's targets, of daemons and of both stores, rejects such values.

Evidence: five more lines for TestMalformedFields in all packages that use headtest. Before, they were returned as responses in pkg/target (20 of 25 cases; those without a length are never complete there) and rejected in pkg/proxy, platform/, pkg/store/httpstore and pkg/ctl.

Change: the scanner checks the bytes of a value.

Result: the tests of pkg/responsehead, pkg/store, platform/ and pkg/ctl pass with the race detector, and those of malformed and cut responses of pkg/target and pkg/proxy.

--- a/pkg/responsehead/headtest/headtest.go
+++ b/pkg/responsehead/headtest/headtest.go
@@ -17,11 +17,13 @@
 	"HTTP/1.1 101 Switching Protocols",
 }
 
-// Fields are lines with a field name that has a byte which is none of a token.
+// Fields are lines that are no field: their name has a byte which is none of a token, or
+// their value has a control byte.
 var Fields = []string{
 	"X Trace: 1", "X-Trace : 1", "X-Trace\t: 1", "X\tTrace: 1", "X\x00Trace: 1", "X\x01Trace: 1", "X\x1fTrace: 1", "X\x7fTrace: 1",
 	"X\rTrace: 1", "X-Trace\r: 1", "X\xa0Trace: 1", "X(Trace): 1", ": 1", "X-Trace", " X-Trace: 1", "\tX-Trace: 1", " : 1",
 	"Content-Length : 2", "Content Length: 2", " Content-Length: 2", "Transfer-Encoding : chunked",
+	"X-Trace: a\x00b", "X-Trace: a\x01b", "X-Trace: a\x7fb", "X-Trace: a\rb", "X-Trace: a\r",
 }
 
 // Folded reports whether a line of Fields can be read as the rest of a folded value, which
--- a/pkg/responsehead/scanner.go
+++ b/pkg/responsehead/scanner.go
@@ -22,16 +22,19 @@
 	version part = iota
 	codeSeparator
 	statusCode
-	restOfLine
+	reason // rest of the status line
 	lineStart
 	fieldName
+	fieldValue
+	fieldEnd    // the LF after the CR of a field
 	lastLineEnd // the LF of the empty line
 	ended
 )
 
 func (p part) String() string {
 	return [...]string{
-		"version", "separator of the status code", "status code", "line", "start of a field name", "field name", "end of the head", "body",
+		"version", "separator of the status code", "status code", "reason", "start of a field name", "field name",
+		"field value", "end of a field", "end of the head", "body",
 	}[p]
 }
 
@@ -77,18 +80,17 @@
 		return b == ' '
 	case statusCode:
 		return s.nextOfCode(b)
-	case restOfLine:
+	case reason:
 		if b == '\n' {
 			s.part = lineStart
 		}
 	case lineStart:
 		return s.nextOfLine(b)
-	case fieldName:
-		if b == ':' {
-			s.part = restOfLine
-			return true
-		}
-		return isToken[b]
+	case fieldName, fieldValue:
+		return s.nextOfField(b)
+	case fieldEnd:
+		s.part = lineStart
+		return b == '\n'
 	case lastLineEnd:
 		if b != '\n' {
 			return false
@@ -121,7 +123,7 @@
 		s.read++
 		return isDigit(b)
 	}
-	s.part = restOfLine
+	s.part = reason
 	if b == '\n' {
 		s.part = lineStart
 	}
@@ -144,6 +146,22 @@
 	return true
 }
 
+func (s *Scanner) nextOfField(b byte) bool {
+	switch {
+	case s.part == fieldName && b == ':':
+		s.part = fieldValue
+	case s.part == fieldName:
+		return isToken[b]
+	case b == '\r':
+		s.part = fieldEnd
+	case b == '\n':
+		s.part = lineStart
+	default:
+		return isValue(b)
+	}
+	return true
+}
+
 // end ends a head. The head of another response follows that of an interim one.
 func (s *Scanner) end() {
 	if s.interim {
@@ -155,6 +173,9 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// isValue reports whether a field value may have b (RFC 9110, section 5.5).
+func isValue(b byte) bool { return b == '\t' || b >= ' ' && b != 0x7f }
+
 // isToken holds the bytes that a field name may have (RFC 9110, section 5.6.2).
 var isToken = func() (set [256]bool) {
 	const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
