Make the daemon close the connection in the tests of malformed heads

Read as a newcomer: the stand-in of testMalformedHead closed its connection itself, so the check that the connection is closed could not fail. It keeps it now; the tests pass with it, twice with the race detector. Two comments said less than they meant.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -93,7 +93,7 @@
 	limit           *headLimit
 	reader          *bufio.Reader
 	writes          *writeRecorder
-	writer          *bufio.Writer // writes to writes
+	writer          *bufio.Writer // on top of writes
 	idleSince       time.Time
 	peerIdleTimeout time.Duration // announced by the peer, 0 if unknown
 	userTimeout     time.Duration // TCP_USER_TIMEOUT of the socket
--- a/pkg/proxy/malformedhead_test.go
+++ b/pkg/proxy/malformedhead_test.go
@@ -11,19 +11,20 @@
 	"nutmegstand.example/nutmegstand/pkg/responsehead/headtest"
 )
 
-// testMalformedHead checks that callers get no response with the given head, of a request
-// that may run once and of one that may be repeated.
+// testMalformedHead checks that a response with the given head reaches no caller, for a
+// request that may run once and for one that may be repeated, and that its connection is
+// not used again.
 func testMalformedHead(t *testing.T, head, body string) {
 	t.Helper()
 	for path, targets := range map[string]int{"/order/1": 1, "/look/1": 2} {
 		m := newMesh(t, 2)
-		m.handleAll(proxytest.Raw(false, func(*proxytest.Request) string { return head + body }))
+		m.handleAll(proxytest.Raw(true, func(*proxytest.Request) string { return head + body }))
 		response := m.get(path)
 		assert.NilError(t, response.err)
 		assert.Check(t, response.status == http.StatusBadGateway, "%s: status %d, %v, body %q", path, response.status, response.header, response.body)
 		assert.Equal(t, m.requestCount(), targets, path)
 		for _, s := range m.targetSides {
-			eventually(t, "the connection to the target is closed", func() bool { return s.target.Conns() == 0 })
+			eventually(t, "the daemon closes the connection to the target", func() bool { return s.target.Conns() == 0 })
 		}
 	}
 }
--- a/pkg/store/httpstore/malformed_test.go
+++ b/pkg/store/httpstore/malformed_test.go
@@ -61,7 +61,7 @@
 }
 
 // TestCutResponse guards against a part of a response without a length that counts as the
-// whole response, however its connection ended.
+// whole response, even if its connection was closed in order.
 func TestCutResponse(t *testing.T) {
 	for end := range len(storedObject) {
 		checkNoResponse(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+storedObject[:end])
