--- a/pkg/responsehead/headtest/headtest.go
+++ b/pkg/responsehead/headtest/headtest.go
@@ -33,6 +33,20 @@
 // Serve starts a server that reads one request on each connection, writes the given bytes
 // and closes the connection. It returns the address of the server.
 func Serve(t testing.TB, response string) string {
+	t.Helper()
+	return Listen(t, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_ = request.Body.Close() // reads it: unread bytes would reset the connection
+		_, _ = conn.Write([]byte(response))
+	})
+}
+
+// Listen starts a server that calls serve with each connection and closes the connection
+// after that. It returns the address of the server.
+func Listen(t testing.TB, serve func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,18 +59,11 @@
 			if err != nil {
 				return
 			}
-			go respond(conn, response)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			}()
 		}
 	}()
 	return listener.Addr().String()
 }
-
-func respond(conn net.Conn, response string) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_ = request.Body.Close() // reads it: unread bytes would reset the connection
-	_, _ = conn.Write([]byte(response))
-}
--- a/pkg/target/uploadreset_test.go
+++ b/pkg/target/uploadreset_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/responsehead/headtest"
 )
 
 // TestResetDuringUpload guards against a part of a response without a length that counts
@@ -19,27 +20,17 @@
 // the write cannot end before the reset.
 func TestResetDuringUpload(t *testing.T) {
 	const socketBuffer = 16 << 10
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			tcp := conn.(*net.TCPConn)
-			_ = tcp.SetReadBuffer(socketBuffer)
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"))
-				time.Sleep(50 * time.Millisecond) // until the write of the request waits for room
-			}
-			_ = tcp.SetLinger(0)
-			_ = conn.Close()
+	address := headtest.Listen(t, func(conn net.Conn) {
+		tcp := conn.(*net.TCPConn)
+		_ = tcp.SetReadBuffer(socketBuffer)
+		_ = tcp.SetLinger(0) // the end of the connection is a reset
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"))
+			time.Sleep(50 * time.Millisecond) // until the write of the request waits for room
 		}
-	}()
+	})
 	backend := NewHTTPBackend()
-	backend.SetTarget(listener.Addr().String(), 1, 1)
+	backend.SetTarget(address, 1, 1)
 	defer backend.Close()
 	for range 10 {
 		exchange, err := backend.Open(t.Context())
