--- a/review/stand-ins-3/machine.go
+++ b/review/stand-ins-3/machine.go
@@ -20,6 +20,7 @@
 	name, ip, zone string
 	ports          map[string]int
 	upstream       *upstream
+	link           *forwarder // to the fleet address of the daemon, nil if it is not needed
 	file, log      string
 	fields         map[string]any
 	process        *exec.Cmd
@@ -96,13 +97,17 @@
 		id: fmt.Sprintf("i-%d-%d", os.Getpid(), n), service: service, zone: zone, address: m.at("app"), control: m.at("control"),
 		slots: slots, heartbeat: heartbeat, decide: decide,
 	}
+	store, err := d.store.addressFor(m.name)
+	if err != nil {
+		return nil, err
+	}
 	m.file, m.log = filepath.Join(d.dir, m.name+".json"), filepath.Join(d.dir, m.name+".log")
 	m.fields = map[string]any{
 		"node": m.name, "zone": zone, "service": service, "app_addr": m.at("app"), "ip": m.ip,
 		"listen": map[string]any{
 			"outbound": m.at("outbound"), "inbound": m.at("inbound"), "control": m.at("control"), "ready": m.at("ready"),
 		},
-		"internal_ports": []any{ports["fleet"]}, "platform": map[string]any{"address": d.store.address}, "bootstrap": true,
+		"internal_ports": []any{ports["fleet"]}, "platform": map[string]any{"address": store}, "bootstrap": true,
 		"heartbeat_ms": heartbeat.Milliseconds(), "bounds": d.bounds,
 		"limits": map[string]any{"memory_mb": 284, "link_mbps": 1000.0, "cpu_share": 0.32},
 	}
@@ -141,6 +146,18 @@
 		}
 		return string(encoded)
 	})
+	if m.link != nil {
+		settings := make(map[string]any)
+		if err := json.Unmarshal([]byte(text), &settings); err != nil {
+			return err
+		}
+		settings["advertise"] = map[string]any{"fleet": m.link.address}
+		encoded, err := json.Marshal(settings)
+		if err != nil {
+			return err
+		}
+		text = string(encoded)
+	}
 	return os.WriteFile(m.file, []byte(text), 0o600)
 }
 
--- a/review/stand-ins-3/store.go
+++ b/review/stand-ins-3/store.go
@@ -34,13 +34,15 @@
 
 // objectStore is a stand-in of the platform's store. It always answers.
 type objectStore struct {
-	address string
+	address string // for a daemon whose calls need not be told from others
+	ip      string
 
 	mu       sync.Mutex
 	objects  map[string]map[string]storeObject
 	revision int64
 	history  []storeChange
 	changed  chan struct{}
+	writers  map[string]string // name of the machine that last wrote an object, by kind and name
 }
 
 func startStore(ip string) (*objectStore, error) {
@@ -49,12 +51,44 @@
 		return nil, err
 	}
 	s := &objectStore{
-		address: listener.Addr().String(), objects: make(map[string]map[string]storeObject), revision: 1, changed: make(chan struct{}),
+		address: listener.Addr().String(), ip: ip, writers: make(map[string]string), objects: make(map[string]map[string]storeObject), revision: 1, changed: make(chan struct{}),
 	}
 	go func() { _ = http.Serve(listener, s) }()
 	return s, nil
 }
 
+// addressFor returns an address of the store for the daemon of one machine.
+func (s *objectStore) addressFor(machine string) (string, error) {
+	listener, err := net.Listen("tcp", s.ip+":0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodGet {
+				name := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+				s.mu.Lock()
+				s.writers[name] = machine
+				s.mu.Unlock()
+			}
+			s.ServeHTTP(w, r)
+		}))
+	}()
+	return listener.Addr().String(), nil
+}
+
+// spec returns the spec of an object and the machine that last called to write it or one
+// of its kind.
+func (s *objectStore) spec(kind, name string) (json.RawMessage, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writer := s.writers[kind+"/"+name]
+	if writer == "" {
+		writer = s.writers[kind]
+	}
+	return s.objects[kind][name].Spec, writer
+}
+
 // put writes the spec of an object as the operator does.
 func (s *objectStore) put(kind, name string, spec any) {
 	content, err := json.Marshal(spec)
--- a/review/stand-ins-3/upstream.go
+++ b/review/stand-ins-3/upstream.go
@@ -47,6 +47,7 @@
 	sequence int
 	state    string
 	stopped  bool
+	thawed   chan struct{} // closed when the machine goes on, nil if it is not suspended
 	listener net.Listener
 	conns    map[net.Conn]bool
 	beaten   chan struct{} // gets a value after each regular ping, if there is room
@@ -78,6 +79,7 @@
 	}()
 	go func() {
 		for !u.isStopped() {
+			u.awaitThaw()
 			u.beat()
 			select {
 			case u.beaten <- struct{}{}:
@@ -89,6 +91,37 @@
 	return nil
 }
 
+// suspend suspends the upstream until the returned function is called.
+func (u *upstream) suspend() (goOn func()) {
+	thawed := make(chan struct{})
+	u.mu.Lock()
+	u.thawed = thawed
+	u.mu.Unlock()
+	return func() {
+		u.mu.Lock()
+		u.thawed = nil
+		u.mu.Unlock()
+		close(thawed)
+	}
+}
+
+func (u *upstream) awaitThaw() {
+	u.mu.Lock()
+	thawed := u.thawed
+	u.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
+// leave makes the upstream say that it is draining, and returns the status of the answer.
+func (u *upstream) leave() int {
+	u.mu.Lock()
+	u.state = "draining"
+	u.mu.Unlock()
+	return u.beat()
+}
+
 func (u *upstream) isStopped() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -201,6 +234,7 @@
 		u.finish(x, false)
 		return false
 	}
+	u.awaitThaw()
 	stopPeek()
 	status := w.status
 	if status == 0 {
@@ -225,6 +259,14 @@
 	x.ended, x.answered = time.Now(), answered
 }
 
+// lastRun returns when the last request arrived. The caller holds mu.
+func (u *upstream) lastRun() time.Time {
+	if len(u.runs) == 0 {
+		return time.Time{}
+	}
+	return u.runs[len(u.runs)-1].arrived
+}
+
 // find returns the runs of a request.
 func (u *upstream) find(id string) []run {
 	u.mu.Lock()
