--- a/review/stand-ins-3/main.go
+++ b/review/stand-ins-3/main.go
@@ -35,11 +35,11 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, r *recorder, trouble bool) (bool, error){
-	"failed-run":    failedRun,
-	"left-in-use":   leftInUse,
-	"pipeline-cut":  pipelineCut,
-	"pipeline-left": pipelineLeft,
-	"stale-leader":  staleController,
+	"era-zero":     eraZero,
+	"failed-run":   failedRun,
+	"left-in-use":  leftInUse,
+	"pipeline-cut": pipelineCut,
+	"stale-leader": staleController,
 }
 
 // The daemons end with the thread that started them, so that none outlives this process.
--- a/review/stand-ins-3/store.go
+++ b/review/stand-ins-3/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -43,6 +45,50 @@
 	history  []storeChange
 	changed  chan struct{}
 	writers  map[string]string // name of the machine that last wrote an object, by kind and name
+	era      int               // rises by one when the store returns from a copy
+	away     bool
+}
+
+// storeCopy is the content of a store at one moment.
+type storeCopy struct {
+	objects  map[string]map[string]storeObject
+	revision int64
+	history  []storeChange
+}
+
+// copy returns a copy of the store.
+func (s *objectStore) copy() *storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &storeCopy{objects: make(map[string]map[string]storeObject), revision: s.revision, history: slices.Clone(s.history)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// leave makes the store refuse all calls, and cuts its watches off.
+func (s *objectStore) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// returnFrom makes the store available with the content of a copy, in a new era.
+func (s *objectStore) returnFrom(c *storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.revision, s.history = c.objects, c.revision, c.history
+	s.era++
+	s.away = false
+	s.wake()
+}
+
+// wake wakes the watches. The caller holds mu.
+func (s *objectStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func startStore(ip string) (*objectStore, error) {
@@ -51,7 +97,7 @@
 		return nil, err
 	}
 	s := &objectStore{
-		address: listener.Addr().String(), ip: ip, writers: make(map[string]string), objects: make(map[string]map[string]storeObject), revision: 1, changed: make(chan struct{}),
+		address: listener.Addr().String(), ip: ip, writers: make(map[string]string), objects: make(map[string]map[string]storeObject), revision: 1, era: 1, changed: make(chan struct{}),
 	}
 	go func() { _ = http.Serve(listener, s) }()
 	return s, nil
@@ -128,8 +174,7 @@
 
 func (s *objectStore) record(c storeChange) {
 	s.history = append(s.history, c)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
@@ -139,7 +184,14 @@
 }
 
 func (s *objectStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	away := s.away
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	kind, name := parts[0], ""
 	if len(parts) > 1 {
@@ -213,8 +265,19 @@
 	from, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era, unknown := s.era, from > s.revision
+	s.mu.Unlock()
+	if unknown {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	for {
 		s.mu.Lock()
+		if s.away || s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler) // the watch is cut off
+		}
 		events := []map[string]any{}
 		for _, c := range s.history {
 			if c.kind == kind && c.object.Metadata.Revision > from {
--- a/review/stand-ins-3/upstream.go
+++ b/review/stand-ins-3/upstream.go
@@ -47,6 +47,7 @@
 	sequence int
 	state    string
 	stopped  bool
+	silent   bool          // it sends no pings
 	thawed   chan struct{} // closed when the machine goes on, nil if it is not suspended
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -80,6 +81,13 @@
 	go func() {
 		for !u.isStopped() {
 			u.awaitThaw()
+			u.mu.Lock()
+			silent := u.silent
+			u.mu.Unlock()
+			if silent {
+				time.Sleep(u.heartbeat)
+				continue
+			}
 			u.beat()
 			select {
 			case u.beaten <- struct{}{}:
