Let the first recorded end of a move stand

Cause: a decision made on a view from before the suspension, and three places that let it stand. - Table.Live of a daemon that was suspended holds itself alone, so complete needed nobody else's confirmation. - Operator.ReportState returned nil without a write if the operator had been told another end; complete took this for success. - After the conflict of the conditional write the controller adopted the revision of the record but not its rollback, and the next attempt wrote over it. - The record was written after the report, so it could not decide.

Change: - fleet.Table.Followed tells for how long a daemon has followed its peers without a suspension, by the gap between its own rounds and before the next one. A move is completed only by a controller that has followed them for as long as a silent member counts as live; confirmations must be as recent, and of exactly the plan in force. Event 1908 names a suspension. - The end is recorded first and reported then. A write that conflicts adopts the recorded plan of the order; only a rollback is written over an active plan. A controller whose daemon has received a later plan reads the record. - ReportState returns rollout.EndedError for another end, and the record is corrected. Event 2112. - Followers use a version again whose completion was recorded before a rollback was published: the old targets end.

Why it works: the record is written under the condition of the revision that was read, every path after a conflict reads it, and nobody reports what is not recorded. So one end exists, whichever of the two events comes first.

--- a/pkg/fleet/events.go
+++ b/pkg/fleet/events.go
@@ -23,4 +23,6 @@
 		"A newer configuration could not be fetched from a peer; the next exchange triggers a retry.")
 	eventMessageFailed = telemetry.NewEvent(1907, "message_failed", zapcore.ErrorLevel,
 		"The processing of a peer's message panicked. The message was dropped.")
+	eventSuspended = telemetry.NewEvent(1908, "suspended", zapcore.WarnLevel,
+		"This daemon or its machine was suspended. Until its peers have had time to be heard again, it does not take their silence for their absence.")
 )
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -20,7 +20,7 @@
 
 const (
 	// exchangeInterval is the interval between rounds of exchanges with random
-	// peers. Updates reach most of a fleet of 100 daemons within silentAfter.
+	// peers. Updates reach most of a fleet of 100 daemons within SilentAfter.
 	exchangeInterval = 500 * time.Millisecond
 	// domainPeers is the number of live peers of the local failure domain contacted
 	// in each round.
@@ -136,7 +136,9 @@
 		case <-f.dirty:
 			f.pushAll(ctx)
 		case <-ticker.C:
-			f.Table.AdvanceHeartbeat()
+			if suspended := f.Table.AdvanceHeartbeat(); suspended > 0 {
+				eventSuspended.Log(f.Logger, zap.Duration("for", suspended))
+			}
 			f.Table.PublishLoad(f.TargetLoad())
 			f.Table.removeSilent()
 			f.logLiveness()
@@ -382,7 +384,7 @@
 	now := f.Table.clock.Now()
 	f.Table.Each(func(m *Member) {
 		age := now.Sub(m.LastHeartbeat)
-		silent := !m.Self && !m.State.Leaving && age > silentAfter
+		silent := !m.Self && !m.State.Leaving && age > SilentAfter
 		switch {
 		case silent && !f.silent[m.Name]:
 			f.silent[m.Name] = true
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -191,7 +191,7 @@
 	_, err := table.apply([]*pb.MemberState{peerState(1)}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(table.Rank("role", nil)), 2)
-	c.Advance(silentAfter + time.Second)
+	c.Advance(SilentAfter + time.Second)
 	assert.Equal(t, len(table.Rank("role", nil)), 1)
 	_, err = table.apply([]*pb.MemberState{peerState(2)}, nil)
 	assert.NilError(t, err)
--- a/pkg/fleet/spread_test.go
+++ b/pkg/fleet/spread_test.go
@@ -101,7 +101,7 @@
 			for i := range 24 {
 				s.round()
 				if i >= 6 {
-					assert.Assert(t, s.oldest() <= silentAfter, "round %d: a heartbeat is %v old", i, s.oldest())
+					assert.Assert(t, s.oldest() <= SilentAfter, "round %d: a heartbeat is %v old", i, s.oldest())
 				}
 			}
 		})
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -56,10 +56,13 @@
 }
 
 const (
-	// silentAfter is the age of the last heartbeat above which a member does not
+	// SilentAfter is the age of the last heartbeat above which a member does not
 	// count as live. It covers three exchange intervals and the relay of the
 	// heartbeat over other members.
-	silentAfter = 3 * time.Second
+	SilentAfter = 3 * time.Second
+	// maxRoundGap is the time between two rounds of a daemon above which its process or its
+	// machine was suspended. It is longer than the delay of a round on a busy machine.
+	maxRoundGap = 2 * exchangeInterval
 	// removeAfter is the age of the last heartbeat above which a member is removed
 	// from the table. Until then it is still contacted, which rediscovers a daemon
 	// that restarts while the store is down.
@@ -70,7 +73,7 @@
 
 // Live reports whether the member has a recent heartbeat and is not leaving.
 func (m *Member) Live(now clock.Instant) bool {
-	return (m.Self || now.Sub(m.LastHeartbeat) <= silentAfter) && !m.State.Leaving
+	return (m.Self || now.Sub(m.LastHeartbeat) <= SilentAfter) && !m.State.Leaving
 }
 
 // newer reports whether a state with the given version supersedes that of m.
--- a/pkg/fleet/summary.go
+++ b/pkg/fleet/summary.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		for _, m := range t.buckets[i].members {
-			if !listed[m.Name] && (m.Self || now.Sub(m.LastHeartbeat) < silentAfter) {
+			if !listed[m.Name] && (m.Self || now.Sub(m.LastHeartbeat) < SilentAfter) {
 				newer = append(newer, m.encode())
 			}
 		}
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/pb"
@@ -35,6 +36,7 @@
 	changed      chan struct{}
 	ranks        map[string]ranking // by role
 	live         liveCount
+	followedFrom clock.Instant // since when this daemon has followed its peers without a suspension
 }
 
 // NewTable returns a table with the local daemon as its only member.
@@ -42,7 +44,7 @@
 	t := &Table{
 		self: self, clock: c, members: make(map[string]*Member), facts: make(map[string]Fact),
 		removed: make(map[string]*pb.MemberDigest), ranks: make(map[string]ranking),
-		changed: make(chan struct{}), version: 1,
+		changed: make(chan struct{}), version: 1, followedFrom: c.Now(),
 	}
 	t.insert(&Member{
 		Name: self, Incarnation: incarnation, Counter: 1, Heartbeat: 1, State: &state, LastHeartbeat: c.Now(), StateChangedAt: c.Now(), Self: true,
@@ -162,13 +164,31 @@
 	return slices.DeleteFunc(t.Members(), func(m Member) bool { return !m.Live(now) })
 }
 
-// AdvanceHeartbeat increments the local heartbeat.
-func (t *Table) AdvanceHeartbeat() {
+// AdvanceHeartbeat increments the local heartbeat. It returns for how long this daemon was
+// suspended, 0 if it was not.
+func (t *Table) AdvanceHeartbeat() (suspended time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	local := t.members[t.self]
+	now, local := t.clock.Now(), t.members[t.self]
+	if gap := now.Sub(local.LastHeartbeat); gap > maxRoundGap {
+		suspended, t.followedFrom = gap, now
+	}
 	local.Heartbeat++
-	local.LastHeartbeat = t.clock.Now()
+	local.LastHeartbeat = now
+	return suspended
+}
+
+// Followed returns for how long this daemon has followed its peers without a suspension.
+// A peer that was not heard for a longer time need not be silent: this daemon may not have
+// listened. After a suspension it returns 0 even before the next round.
+func (t *Table) Followed() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	if now.Sub(t.members[t.self].LastHeartbeat) > maxRoundGap {
+		return 0
+	}
+	return now.Sub(t.followedFrom)
 }
 
 // SetFact stores a fact if its rank is higher than that of the stored one, and
--- a/pkg/node/interfaces.go
+++ b/pkg/node/interfaces.go
@@ -32,7 +32,7 @@
 	// WatchEvacuations waits for evacuations that begin or end until ctx ends. It returns
 	// them in order, and the revision to continue from.
 	WatchEvacuations(ctx context.Context, from int64) ([]evacuation.Event, int64, error)
-	// ReportState reports the state of an order to the operator.
+	// ReportState reports the state of an order to the operator, see rollout.Records.
 	ReportState(ctx context.Context, order *rollout.Order, state rollout.State) error
 }
 
--- a/pkg/rollout/collector.go
+++ b/pkg/rollout/collector.go
@@ -68,8 +68,8 @@
 }
 
 // ConfirmedClosing reports whether a daemon's last report arrived no earlier than
-// since, names a plan of at least the given rank and counts no request in flight
-// at the daemon's old target.
+// since, names the plan of the given rank and counts no request in flight at the
+// daemon's old target. A daemon with a later plan does not confirm this one.
 func (c *Collector) ConfirmedClosing(service, daemon string, rank uint64, since clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,5 +78,5 @@
 		return false
 	}
 	latest := evidence.daemons[daemon]
-	return latest.receivedAt >= since && latest.report.Rank >= rank && latest.report.OldInFlight == 0
+	return latest.receivedAt >= since && latest.report.Rank == rank && latest.report.OldInFlight == 0
 }
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -56,7 +56,8 @@
 	// SavePlan writes a plan if the stored revision is still ifRevision, and returns
 	// the new revision. An ifRevision of 0 creates the plan.
 	SavePlan(ctx context.Context, plan *Plan, ifRevision int64) (int64, error)
-	// ReportState reports the state of an order to the operator.
+	// ReportState reports the state of an order to the operator. A final state is never
+	// changed: a report of another one returns EndedError, and that of Active has no effect.
 	ReportState(ctx context.Context, order *Order, state State) error
 }
 
--- a/pkg/rollout/events.go
+++ b/pkg/rollout/events.go
@@ -24,9 +24,13 @@
 	eventControllerStopped = telemetry.NewEvent(2107, "controller_stopped", zapcore.InfoLevel,
 		"This daemon is no longer the controller: another daemon has the role, this daemon's store operations fail, or no order is open.")
 	eventClosingWaits = telemetry.NewEvent(2108, "closing_waits", zapcore.InfoLevel,
-		"A move cannot be completed until the daemon confirms that no request is in flight at an old target.")
+		"A move cannot be completed until the named daemon confirms that no request is in flight at an old target or, if none is named, until the controller has heard its peers for long enough.")
 	eventOrderWithoutPlan = telemetry.NewEvent(2110, "order_without_plan", zapcore.InfoLevel,
 		"An order has no plan yet. Its target version gets no requests until a controller publishes one, unless the operator was told that the move is completed.")
+	eventPlanAdopted = telemetry.NewEvent(2111, "plan_adopted", zapcore.WarnLevel,
+		"Another controller has recorded a plan of the same order; the controller continues with it in place of its own.")
+	eventEndDiffers = telemetry.NewEvent(2112, "end_differs", zapcore.WarnLevel,
+		"The operator was told another end of a move than the one recorded. The reported end is put in force and recorded.")
 	eventReportRejected = telemetry.NewEvent(2109, "report_rejected", zapcore.WarnLevel,
 		"A report of evidence from a peer daemon could not be decoded.")
 )
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -90,7 +90,7 @@
 		}
 		changed = true
 		next[service] = &rankedPlan{Plan: *plan, rank: fact.Rank}
-		f.recordRollback(plan)
+		f.recordEnd(plan)
 		eventPlanFollowed.Log(f.logger, zap.String("service", service), zap.String("target", plan.Target),
 			zap.String("state", string(plan.State)), zap.Float64("share", plan.Share), zap.Bool("closing", plan.Closing),
 			zap.Uint64("rank", fact.Rank), zap.String("reason", plan.Reason))
@@ -149,15 +149,18 @@
 	return plan
 }
 
-// recordRollback records the order of a plan that was rolled back. A plan from a
-// controller without knowledge of the rollback then does not bring the version
-// back into use.
-func (f *Follower) recordRollback(plan *Plan) {
+// recordEnd records the order of a plan that was rolled back. A plan from a controller
+// without knowledge of the rollback then does not bring the version back into use. Only
+// a completed plan does: it was recorded before the rollback, and the old targets end.
+func (f *Follower) recordEnd(plan *Plan) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	order := plan.Order
-	if plan.State == RolledBack && !slices.Contains(f.rolledBack[plan.Service], order) {
-		f.rolledBack[plan.Service] = append(f.rolledBack[plan.Service], order)
+	order, known := plan.Order, f.rolledBack[plan.Service]
+	switch {
+	case plan.State == Completed:
+		f.rolledBack[plan.Service] = slices.DeleteFunc(known, func(o string) bool { return o == order })
+	case plan.State == RolledBack && !slices.Contains(known, order):
+		f.rolledBack[plan.Service] = append(known, order)
 	}
 }
 
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
+	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
@@ -20,7 +22,6 @@
 	revision       int64
 	rank           uint64
 	started        clock.Instant
-	publishedAt    clock.Instant // when advance last published a plan
 	stepEnd        time.Duration // earliest end of the current step, since the order
 	judge          Judge
 	attemptsAtStep int // attempts at the new version when the current step started
@@ -48,7 +49,7 @@
 		}
 	}
 	if m.plan.State != Active && !m.order.Final() {
-		m.retry(ctx, "report state", func(ctx context.Context) error { return m.report(ctx, m.plan.State) })
+		m.retry(ctx, "report state", m.reportEnd)
 	}
 }
 
@@ -62,7 +63,7 @@
 		if err == nil {
 			return true
 		}
-		eventPlanWriteFailed.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("access", operation), zap.Error(err))
+		m.logWriteFailed(operation, err)
 		select {
 		case <-ctx.Done():
 			return false
@@ -93,16 +94,16 @@
 		return m.resume(ctx, previous, lost)
 	}
 	m.started = m.receivedAt
-	m.plan = &Plan{
+	plan := &Plan{
 		Order: m.order.ID(), OrderRevision: m.order.Revision, Service: m.order.Service, Target: m.order.Target, State: Active,
 		Forbidden: forbiddenVersions(previous, m.order.Target),
 	}
 	if m.order.Final() {
-		m.plan.State = m.order.State
+		plan.State = m.order.State
 	} else {
-		m.plan.Share = steps[0].share
+		plan.Share = steps[0].share
 	}
-	return m.save(ctx)
+	return m.save(ctx, plan)
 }
 
 // resume continues a plan of the order. It is recorded again if it may be lost.
@@ -110,7 +111,6 @@
 	c := m.controller
 	plan := *previous
 	plan.Order, plan.OrderRevision = m.order.ID(), m.order.Revision
-	m.plan = &plan
 	m.started = m.receivedAt
 	if continued := c.Clock.Now().Add(-plan.Elapsed); continued < m.started {
 		m.started = continued
@@ -121,43 +121,57 @@
 	case plan.State == Active && c.Follower.WasRolledBack(m.order.Service, previous.Order):
 		plan.State, plan.Reason = RolledBack, "rolled back before"
 	case !lost && plan.Order == previous.Order:
-		m.publish(Rank(m.revision))
+		m.follow(&plan, m.revision)
 		return nil
 	}
-	return m.save(ctx)
+	return m.save(ctx, &plan)
 }
 
-// save records the plan and publishes it. If the write conflicts or its outcome is
-// unknown, the record is read again before the next attempt.
-func (m *move) save(ctx context.Context) error {
+// save records a plan and then puts it in force. If another controller has written the
+// record in the meantime, its plan is adopted instead, unless the move goes on there and is
+// to be rolled back here. So the first recorded end of a move stands.
+func (m *move) save(ctx context.Context, plan *Plan) error {
 	c := m.controller
-	m.plan.Elapsed = c.Clock.Now().Sub(m.started)
-	revision, err := c.Records.SavePlan(ctx, m.plan, m.revision)
-	if err != nil {
-		m.reloadRevision(ctx, err)
+	plan.Elapsed = c.Clock.Now().Sub(m.started)
+	revision, err := c.Records.SavePlan(ctx, plan, m.revision)
+	if err == nil {
+		m.follow(plan, revision)
+		return nil
+	}
+	if !store.IsConflict(err) && !store.IsOutcomeUnknown(err) {
 		return err
 	}
+	recorded, revision, readErr := c.Records.LoadPlan(ctx, m.order.Service)
+	if readErr != nil {
+		return err // the next attempt fails again and repeats the read
+	}
+	unchanged := revision == m.revision
 	m.revision = revision
-	m.publish(Rank(revision))
+	if unchanged || recorded == nil || recorded.Order != plan.Order || plan.State == RolledBack && recorded.State == Active {
+		return err // the next attempt replaces the record
+	}
+	m.adopt(recorded, revision)
 	return nil
 }
 
-// reloadRevision reads the revision of the record after a conflict or a write with
-// an unknown outcome. If another controller has completed the move, its plan is
-// adopted.
-func (m *move) reloadRevision(ctx context.Context, cause error) {
-	if !store.IsConflict(cause) && !store.IsOutcomeUnknown(cause) {
-		return
+// adopt continues with a plan that another controller has recorded.
+func (m *move) adopt(recorded *Plan, revision int64) {
+	fields := []zap.Field{
+		zap.String("service", m.order.Service), zap.String("target", recorded.Target), zap.Int64("revision", revision),
+		zap.String("state", string(recorded.State)), zap.Float64("share", recorded.Share), zap.Bool("closing", recorded.Closing),
 	}
-	recorded, revision, err := m.controller.Records.LoadPlan(ctx, m.order.Service)
-	if err != nil || recorded == nil {
-		return // the next attempt fails again and repeats the read
-	}
-	m.revision = revision
-	if recorded.Order == m.plan.Order && recorded.State == Completed {
-		m.plan = recorded
-		m.publish(Rank(revision))
+	if m.plan != nil {
+		fields = append(fields, zap.String("own_state", string(m.plan.State)), zap.Float64("own_share", m.plan.Share), zap.Bool("own_closing", m.plan.Closing))
 	}
+	eventPlanAdopted.Log(m.controller.Logger, fields...)
+	m.follow(recorded, revision)
+	m.startStep()
+}
+
+// follow puts a recorded plan in force.
+func (m *move) follow(plan *Plan, revision int64) {
+	m.plan, m.revision = plan, revision
+	m.publish(Rank(revision))
 }
 
 func (m *move) publish(rank uint64) {
@@ -176,6 +190,10 @@
 		m.rollBack(ctx, "another daemon rolled it back")
 		return
 	}
+	if m.isOutdated() {
+		m.reload(ctx)
+		return
+	}
 	elapsed := m.controller.Clock.Now().Sub(m.started)
 	if m.plan.Closing {
 		m.complete(ctx)
@@ -194,6 +212,26 @@
 	m.advance(ctx, &next)
 }
 
+// isOutdated reports whether this daemon has received a later plan of the order from
+// another controller.
+func (m *move) isOutdated() bool {
+	known, rank := m.controller.Follower.Plan(m.order.Service)
+	return known != nil && known.Order == m.plan.Order && rank > m.rank
+}
+
+// reload adopts the recorded plan if another controller has written it.
+func (m *move) reload(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	recorded, revision, err := m.controller.Records.LoadPlan(ctx, m.order.Service)
+	switch {
+	case err != nil:
+		m.logWriteFailed("load plan", err)
+	case recorded != nil && recorded.Order == m.plan.Order && revision > m.revision:
+		m.adopt(recorded, revision)
+	}
+}
+
 // minStepDuration returns the shortest time for which a step is to last that starts at a
 // time since the order. A controller that takes over late must not raise the share before
 // the evidence of the current step is in. Steps that started late are shortened by up to
@@ -222,23 +260,28 @@
 // The plan is recorded before it is published, so the record that a successor
 // reads is never behind the plan in force.
 func (m *move) advance(ctx context.Context, next *Plan) {
-	previous := m.plan
-	m.plan = next
-	attempt, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := m.save(attempt); err != nil {
-		eventPlanWriteFailed.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.Error(err))
-		if m.plan == next {
-			m.plan = previous
-		}
+	if err := m.save(ctx, next); err != nil {
+		m.logWriteFailed("record a step", err)
 		return
 	}
+	if m.plan == next {
+		m.startStep()
+		m.logStep("evidence")
+	}
+}
+
+// startStep starts the evaluation of the share in force.
+func (m *move) startStep() {
 	m.attemptsAtStep = m.judge.Attempts()
 	m.judge.StartStep()
-	m.publishedAt = m.controller.Clock.Now()
-	elapsed := m.publishedAt.Sub(m.started)
+	elapsed := m.controller.Clock.Now().Sub(m.started)
 	m.stepEnd = elapsed + minStepDuration(m.currentStep(), elapsed, m.order.Duration)
-	m.logStep("evidence")
+}
+
+func (m *move) logWriteFailed(operation string, err error) {
+	eventPlanWriteFailed.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("access", operation), zap.Error(err))
 }
 
 func (m *move) logStep(reason string) {
@@ -251,45 +294,71 @@
 // rollBack withdraws the new version immediately and records the rollback in the
 // store afterwards.
 func (m *move) rollBack(ctx context.Context, reason string) {
-	next := *m.plan
-	next.State, next.Share, next.Closing, next.Reason = RolledBack, 0, false, reason
-	m.plan = &next
+	next := m.plan.ended(RolledBack)
+	next.Reason = reason
+	m.plan = next
 	m.publish(m.rank + 1)
 	m.logStep(reason)
-	m.retry(ctx, "record the roll-back", m.save)
+	m.retry(ctx, "record the roll-back", func(ctx context.Context) error { return m.save(ctx, next) })
 }
 
-// complete ends the move once every live daemon has confirmed that no request is in
-// flight at an old target.
+// complete ends the move once every daemon has confirmed that no request is in flight at
+// an old target. The end is recorded before the operator, who then stops the old targets,
+// is told: the conditional write fails if another controller has ended the move.
 func (m *move) complete(ctx context.Context) {
+	if !m.isConfirmed() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	next := m.plan.ended(Completed)
+	if err := m.save(ctx, next); err != nil {
+		m.logWriteFailed("record the end", err)
+		return
+	}
+	if m.plan == next {
+		m.logStep("every daemon has confirmed")
+	}
+}
+
+// isConfirmed reports whether every live daemon follows the closing plan and has no
+// request in flight at an old target. A controller that was suspended waits until it would
+// have heard all live daemons again.
+func (m *move) isConfirmed() bool {
 	c := m.controller
+	if followed := c.Table.Followed(); followed < fleet.SilentAfter {
+		eventClosingWaits.Log(c.Logger, zap.String("service", m.order.Service), zap.Duration("followed", followed))
+		return false
+	}
+	since := c.Clock.Now().Add(-fleet.SilentAfter)
 	for _, member := range c.Table.Live() {
-		if !c.Collector.ConfirmedClosing(m.order.Service, member.Name, m.rank, m.publishedAt) {
+		if !c.Collector.ConfirmedClosing(m.order.Service, member.Name, m.rank, since) {
 			eventClosingWaits.Log(c.Logger, zap.String("service", m.order.Service), zap.String("member", member.Name))
-			return
+			return false
 		}
 	}
-	// When the operator receives this report, it stops the old targets. That is safe
-	// even if the completed plan cannot be recorded, because no daemon uses them any
-	// more.
-	if !m.reportState(ctx, Completed) {
-		return
+	return true
+}
+
+// reportEnd reports the end of the move to the operator. The operator acts on the first
+// end that it is told; if that is another one, the record is corrected.
+func (m *move) reportEnd(ctx context.Context) error {
+	err := m.report(ctx, m.plan.State)
+	var ended *EndedError
+	if !errors.As(err, &ended) {
+		return err
 	}
-	next := *m.plan
-	next.State = Completed
-	m.plan = &next
-	m.logStep("every daemon has confirmed")
-	m.retry(ctx, "record the end", m.save)
+	eventEndDiffers.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("target", m.order.Target),
+		zap.String("recorded", string(m.plan.State)), zap.String("reported", string(ended.State)))
+	return m.save(ctx, m.plan.ended(ended.State))
 }
 
-func (m *move) reportState(ctx context.Context, state State) bool {
+func (m *move) reportState(ctx context.Context, state State) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := m.report(ctx, state); err != nil {
 		eventStatusFailed.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("state", string(state)), zap.Error(err))
-		return false
 	}
-	return true
 }
 
 func (m *move) report(ctx context.Context, state State) error {
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -100,6 +100,16 @@
 	return p.Order == o.ID() || p.Target == o.Target && eraOf(p.OrderRevision) < eraOf(o.Revision)
 }
 
+// ended returns the plan with a final state.
+func (p *Plan) ended(state State) *Plan {
+	next := *p
+	next.State = state
+	if state == RolledBack {
+		next.Share, next.Closing = 0, false
+	}
+	return &next
+}
+
 // Keys of facts and kinds of store objects.
 const (
 	orderKeyPrefix = "order/"
@@ -141,6 +151,16 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Cause }
 
+// EndedError is returned for a report of an order whose operator has been told another end.
+type EndedError struct {
+	Service, Target string
+	State           State // that was reported
+}
+
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("rollout: the order to move %s to %s was reported as %s", e.Service, e.Target, e.State)
+}
+
 // Encode returns a plan, an order or a report as JSON.
 func Encode(v any) []byte {
 	data, err := json.Marshal(v)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -284,6 +284,10 @@
 func TestUnconfirmedDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(t, 7301)
+		for range 6 { // the controller has heard its peers
+			time.Sleep(500 * time.Millisecond)
+			s.table.AdvanceHeartbeat()
+		}
 		busy := &Plan{Order: "7/v2", Service: testService, Target: "v2", State: Active, Share: 1, Closing: true}
 		s.records.plan, s.records.revision = busy, 9
 		m := &move{controller: s.controller(), order: Order{Service: testService, Target: "v2", Created: 7}, plan: busy, rank: Rank(9)}
@@ -295,11 +299,14 @@
 		for _, unconfirmed := range [][2]int{{8, 0}, {9, 1}} {
 			report(Rank(int64(unconfirmed[0])), unconfirmed[1])
 			m.complete(t.Context())
+			assert.Equal(t, s.records.plan.State, Active)
 			assert.Equal(t, s.records.state(), State(""))
 		}
 		report(Rank(9), 0)
 		m.revision = 9
 		m.complete(t.Context())
+		assert.Equal(t, s.records.plan.State, Completed)
+		assert.NilError(t, m.reportEnd(t.Context()))
 		assert.Equal(t, s.records.state(), Completed)
 		s.tasks.Release()
 	})
--- a/pkg/rollout/simulation_test.go
+++ b/pkg/rollout/simulation_test.go
@@ -83,14 +83,17 @@
 	return r.revision, nil
 }
 
-func (r *memoryRecords) ReportState(_ context.Context, _ *Order, state State) error {
+func (r *memoryRecords) ReportState(_ context.Context, o *Order, state State) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.fail(); err != nil {
 		return err
 	}
-	if r.reported != Completed && r.reported != RolledBack {
+	switch {
+	case r.reported != Completed && r.reported != RolledBack:
 		r.reported = state
+	case r.reported != state && state != Active:
+		return &EndedError{Service: o.Service, Target: o.Target, State: r.reported}
 	}
 	return nil
 }
@@ -184,6 +187,7 @@
 		s.send(load)
 		if now := s.elapsed(); now-lastReport >= ReportInterval {
 			lastReport = now
+			s.table.AdvanceHeartbeat()
 			if r := s.recorder.Report(1, func(string, string) int { return 0 }); r != nil {
 				s.collector.Receive("vm", r)
 			}
