Follow the end of a move that the operator was told

Every daemon that started afterwards used the version of the record, whose targets had ended, and refused all requests of the service; nothing corrected it.

Cause: Controller.openOrders took an order as ended if its plan had any end, and resume and the follower trusted a recorded end. Nothing compared it with what the operator was told, by which targets are stopped.

Change: a published plan with another end than the reported one does not apply; the reported end does, on each daemon, as soon as it knows the order. The order counts as open, and its controller writes the record again with the reported end (event 2112).

Why it works: the operator is told one end only and acts on it, so it is the one to follow.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// openOrder is an order that has not ended, or whose end is not yet recorded in its
-// plan or not yet reported to the operator.
+// openOrder is an order that has not ended, whose end is not yet reported to the operator,
+// or whose plan does not record the reported end.
 type openOrder struct {
 	Order
 	receivedAt clock.Instant // when this daemon received the order
@@ -146,7 +146,7 @@
 			continue
 		}
 		plan, rank := c.Follower.Plan(order.Service)
-		ended := plan != nil && plan.Order == order.ID() && plan.State != Active && eraOfRank(rank) >= eraOf(order.Revision)
+		ended := plan != nil && plan.Order == order.ID() && plan.State == order.State && eraOfRank(rank) >= eraOf(order.Revision)
 		if !order.Final() || !ended {
 			open = append(open, openOrder{*order, fact.ReceivedAt()})
 		}
--- a/pkg/rollout/follower.go
+++ b/pkg/rollout/follower.go
@@ -37,7 +37,7 @@
 	logger *zap.Logger
 	plans  atomic.Pointer[map[string]*rankedPlan]
 	// unplanned has, by service, the plans that apply to orders for which no controller
-	// has published a plan.
+	// has published a plan, or one that contradicts what the operator was told.
 	unplanned atomic.Pointer[map[string]*Plan]
 
 	refreshing sync.Mutex             // serializes Refresh
@@ -122,7 +122,11 @@
 		}
 		next[service] = plan
 		if old := before[service]; old == nil || old.Order != plan.Order || old.State != plan.State {
-			eventOrderWithoutPlan.Log(f.logger, zap.String("service", service), zap.String("target", plan.Target),
+			event := eventOrderWithoutPlan
+			if published := f.plan(service); published != nil && published.isFor(order.Order) {
+				event = eventEndDiffers
+			}
+			event.Log(f.logger, zap.String("service", service), zap.String("target", plan.Target),
 				zap.String("state", string(plan.State)), zap.Int64("revision", order.Revision))
 		}
 	}
@@ -130,11 +134,16 @@
 }
 
 // unplanned returns the plan that applies to an order until a controller publishes one, or
-// nil if the published plan is that of the order or of a later one.
+// nil if the published plan is that of the order or of a later one. A published plan whose
+// end is not the one that the operator was told does not apply: the operator stops targets
+// by what it was told.
 func unplanned(order *Order, published *rankedPlan) *Plan {
 	var previous *Plan
 	if published != nil {
-		if published.isFor(order) || published.OrderRevision > order.Revision {
+		switch {
+		case published.isFor(order) && order.Final() && published.State != Active && published.State != order.State:
+			return published.ended(order.State)
+		case published.isFor(order), published.OrderRevision > order.Revision:
 			return nil
 		}
 		previous = &published.Plan
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -116,8 +116,11 @@
 		m.started = continued
 	}
 	switch {
-	case plan.State == Active && m.order.Final():
-		plan.State = m.order.State
+	case m.order.Final() && plan.State != m.order.State:
+		if plan.State != Active {
+			m.logEndDiffers(plan.State, m.order.State)
+		}
+		return m.save(ctx, plan.ended(m.order.State))
 	case plan.State == Active && c.Follower.WasRolledBack(m.order.Service, previous.Order):
 		plan.State, plan.Reason = RolledBack, "rolled back before"
 	case !lost && plan.Order == previous.Order:
@@ -348,11 +351,15 @@
 	if !errors.As(err, &ended) {
 		return err
 	}
-	eventEndDiffers.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("target", m.order.Target),
-		zap.String("recorded", string(m.plan.State)), zap.String("reported", string(ended.State)))
+	m.logEndDiffers(m.plan.State, ended.State)
 	return m.save(ctx, m.plan.ended(ended.State))
 }
 
+func (m *move) logEndDiffers(recorded, reported State) {
+	eventEndDiffers.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("target", m.order.Target),
+		zap.String("recorded", string(recorded)), zap.String("state", string(reported)))
+}
+
 func (m *move) reportState(ctx context.Context, state State) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
