End the move of an order that the operator has replaced

What callers would see: a controller that has not noticed that its order was replaced writes its plan over that of the new order. Until the new order's controller writes again, no daemon has a plan of the new order, so its version gets no requests; if that of the old order ended, it can be completed or rolled back over the new order. Both controllers may run in one daemon.

A controller that starts with an outdated order overwrote the record without a conflict. The report of the end of a replaced order was repeated every 250 ms for as long as the daemon was the controller.

Change: a plan of a later order, by the revision of the order's object, ends the move: on a conflict, when it is followed here, and when the record is first read. Event 2113 tells it.

Why it works: revisions of an order's object only increase, and contain the era of the store, so a later order is known without a clock.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -58,6 +58,7 @@
 	SavePlan(ctx context.Context, plan *Plan, ifRevision int64) (int64, error)
 	// ReportState reports the state of an order to the operator. A final state is never
 	// changed: a report of another one returns EndedError, and that of Active has no effect.
+	// The report of an order that the operator has replaced returns ReplacedError.
 	ReportState(ctx context.Context, order *Order, state State) error
 }
 
--- a/pkg/rollout/events.go
+++ b/pkg/rollout/events.go
@@ -31,6 +31,8 @@
 		"Another controller has recorded a plan of the same order; the controller continues with it in place of its own.")
 	eventEndDiffers = telemetry.NewEvent(2112, "end_differs", zapcore.WarnLevel,
 		"The operator was told another end of a move than the one recorded. The reported end is put in force and recorded.")
+	eventOrderReplaced = telemetry.NewEvent(2113, "order_replaced", zapcore.InfoLevel,
+		"The operator has replaced an order; its controller ends the move and leaves the record to the later order.")
 	eventReportRejected = telemetry.NewEvent(2109, "report_rejected", zapcore.WarnLevel,
 		"A report of evidence from a peer daemon could not be decoded.")
 )
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -24,12 +24,14 @@
 	started        clock.Instant
 	stepEnd        time.Duration // earliest end of the current step, since the order
 	judge          Judge
-	attemptsAtStep int // attempts at the new version when the current step started
+	attemptsAtStep int  // attempts at the new version when the current step started
+	replaced       bool // by a later order
 }
 
-// run advances the order until it ends or another daemon becomes the controller.
+// run advances the order until it ends, is replaced or another daemon becomes the
+// controller.
 func (m *move) run(ctx context.Context) {
-	if !m.retry(ctx, "load plan", m.resumeOrStart) {
+	if !m.retry(ctx, "load plan", m.resumeOrStart) || m.replaced {
 		return
 	}
 	if m.plan.State == Active && m.order.Reported != m.order.Target && m.controller.Tasks.Submit(func() {
@@ -39,7 +41,7 @@
 	}
 	ticker := time.NewTicker(evaluationInterval)
 	defer ticker.Stop()
-	for m.plan.State == Active && m.controller.isLeader() {
+	for m.plan.State == Active && !m.replaced && m.controller.isLeader() {
 		m.judge.Add(time.Now(), m.controller.Collector.Sums(m.order.Service, m.plan.Order))
 		m.decide(ctx)
 		select {
@@ -48,7 +50,7 @@
 		case <-ticker.C:
 		}
 	}
-	if m.plan.State != Active && !m.order.Final() {
+	if m.plan.State != Active && !m.replaced && !m.order.Final() {
 		m.retry(ctx, "report state", m.reportEnd)
 	}
 }
@@ -98,6 +100,10 @@
 		Order: m.order.ID(), OrderRevision: m.order.Revision, Service: m.order.Service, Target: m.order.Target, State: Active,
 		Forbidden: forbiddenVersions(previous, m.order.Target),
 	}
+	if previous != nil && previous.replaces(plan) {
+		m.endReplaced(previous.Target) // this daemon has not received the later order yet
+		return nil
+	}
 	if m.order.Final() {
 		plan.State = m.order.State
 	} else {
@@ -132,7 +138,8 @@
 
 // save records a plan and then puts it in force. If another controller has written the
 // record in the meantime, its plan is adopted instead, unless the move goes on there and is
-// to be rolled back here. So the first recorded end of a move stands.
+// to be rolled back here. So the first recorded end of a move stands. The plan of a later
+// order ends this move.
 func (m *move) save(ctx context.Context, plan *Plan) error {
 	c := m.controller
 	plan.Elapsed = c.Clock.Now().Sub(m.started)
@@ -148,6 +155,10 @@
 	if readErr != nil {
 		return err // the next attempt fails again and repeats the read
 	}
+	if recorded != nil && recorded.replaces(plan) {
+		m.endReplaced(recorded.Target)
+		return nil
+	}
 	unchanged := revision == m.revision
 	m.revision = revision
 	if unchanged || recorded == nil || recorded.Order != plan.Order || plan.State == RolledBack && recorded.State == Active {
@@ -157,6 +168,12 @@
 	return nil
 }
 
+// endReplaced ends the move, since the operator has ordered another target version.
+func (m *move) endReplaced(by string) {
+	m.replaced = true
+	eventOrderReplaced.Log(m.controller.Logger, zap.String("service", m.order.Service), zap.String("target", m.order.Target), zap.String("by", by))
+}
+
 // adopt continues with a plan that another controller has recorded.
 func (m *move) adopt(recorded *Plan, revision int64) {
 	fields := []zap.Field{
@@ -185,6 +202,11 @@
 // decide evaluates the evidence and rolls the move back, advances it by one step or
 // completes it.
 func (m *move) decide(ctx context.Context) {
+	known, rank := m.controller.Follower.Plan(m.order.Service)
+	if known != nil && known.replaces(m.plan) {
+		m.endReplaced(known.Target)
+		return
+	}
 	if reason := m.judge.Fault(); reason != "" {
 		m.rollBack(ctx, reason)
 		return
@@ -193,7 +215,7 @@
 		m.rollBack(ctx, "another daemon rolled it back")
 		return
 	}
-	if m.isOutdated() {
+	if known != nil && known.Order == m.plan.Order && rank > m.rank {
 		m.reload(ctx)
 		return
 	}
@@ -215,14 +237,7 @@
 	m.advance(ctx, &next)
 }
 
-// isOutdated reports whether this daemon has received a later plan of the order from
-// another controller.
-func (m *move) isOutdated() bool {
-	known, rank := m.controller.Follower.Plan(m.order.Service)
-	return known != nil && known.Order == m.plan.Order && rank > m.rank
-}
-
-// reload adopts the recorded plan if another controller has written it.
+// reload adopts the recorded plan of the order, which another controller has written.
 func (m *move) reload(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -348,7 +363,12 @@
 func (m *move) reportEnd(ctx context.Context) error {
 	err := m.report(ctx, m.plan.State)
 	var ended *EndedError
-	if !errors.As(err, &ended) {
+	var replaced *ReplacedError
+	switch {
+	case errors.As(err, &replaced):
+		m.endReplaced("")
+		return nil
+	case !errors.As(err, &ended):
 		return err
 	}
 	m.logEndDiffers(m.plan.State, ended.State)
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -110,6 +110,11 @@
 	return &next
 }
 
+// replaces reports whether the plan is that of a later order than another plan of the service.
+func (p *Plan) replaces(other *Plan) bool {
+	return p.Order != other.Order && p.OrderRevision > other.OrderRevision
+}
+
 // Keys of facts and kinds of store objects.
 const (
 	orderKeyPrefix = "order/"
@@ -161,6 +166,13 @@
 	return fmt.Sprintf("rollout: the order to move %s to %s was reported as %s", e.Service, e.Target, e.State)
 }
 
+// ReplacedError is returned for a report of an order that the operator has replaced.
+type ReplacedError struct{ Service, Target string }
+
+func (e *ReplacedError) Error() string {
+	return fmt.Sprintf("rollout: the order to move %s to %s was replaced", e.Service, e.Target)
+}
+
 // Encode returns a plan, an order or a report as JSON.
 func Encode(v any) []byte {
 	data, err := json.Marshal(v)
--- a/pkg/rollout/simulation_test.go
+++ b/pkg/rollout/simulation_test.go
@@ -43,6 +43,7 @@
 	plan        *Plan
 	revision    int64
 	reported    State
+	replaced    bool // the operator has replaced the order
 	unavailable func() bool
 	loseAnswer  func() bool // whether the answer to a successful write is lost
 }
@@ -90,6 +91,8 @@
 		return err
 	}
 	switch {
+	case r.replaced:
+		return &ReplacedError{Service: o.Service, Target: o.Target}
 	case r.reported != Completed && r.reported != RolledBack:
 		r.reported = state
 	case r.reported != state && state != Active:
