Remove no entries of daemons that a suspended watcher has not heard

What callers would see: requests to targets whose departure was confirmed, after the next loss of all daemons. The entries of daemons hold these departures.

Cause: the first watcher removes the entries of daemons that it has not heard for 30 s, without a condition. A removal without a response may also be executed by the store seconds later, when the daemon has returned and written its entry again.

Change: a watcher removes entries only if it has followed its peers for 30 s without a suspension, and under the condition of the revision that it has just read. If the entry has changed since, its daemon is back and the entry stays (field "removed" of event 2221). This is one call more for each entry that is removed, about one for each machine that is gone for good.

Why it works: silence is counted only while the watcher listened, and the store itself refuses to remove what the daemon has written since.

Tests, on the previous commit: pkg/node.TestSuspendedWatcherRemovesNothing "removed before the first round after the suspension", TestLateRemoval "the entry that the daemon has written since was removed". Both pass now; the first also checks that the entry of a silent daemon is removed in the end.

--- a/pkg/node/discovery.go
+++ b/pkg/node/discovery.go
@@ -242,14 +242,15 @@
 
 // removeStaleEntries removes the store entries of daemons that have been silent for
 // entryMaxAge, after a crash or a planned stop. A daemon that stops leaves its entry,
-// since it usually starts again. Only the first of the operator watchers removes them.
+// since it usually starts again. Only the first of the operator watchers removes them, once
+// it has itself followed its peers for as long.
 func (n *Node) removeStaleEntries(ctx context.Context) {
 	if era := n.platform.Eras.Current(); era != n.removedInEra {
 		n.removedInEra = era // the copy from which the store returned may have removed entries
 		clear(n.removedEntries)
 	}
 	ranked := n.watchers()
-	if len(ranked) == 0 || ranked[0] != n.settings.Name {
+	if len(ranked) == 0 || ranked[0] != n.settings.Name || n.table.Followed() < entryMaxAge {
 		return
 	}
 	for _, m := range n.table.Members() {
@@ -257,16 +258,33 @@
 		if m.Self || age < entryMaxAge || n.removedEntries[m.Name] == m.Incarnation {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		err := n.platform.Store.Delete(callCtx, daemonPrefix+m.Name, 0)
-		cancel()
-		if err != nil && !store.IsNotFound(err) {
+		removed, err := n.removeEntry(ctx, daemonPrefix+m.Name)
+		if err != nil {
 			eventRegisterFailed.Log(n.logger, zap.String("access", "collect"), zap.String("member", m.Name), zap.Error(err))
 			continue // repeated in the next round
 		}
 		n.removedEntries[m.Name] = m.Incarnation
-		eventEntryRemoved.Log(n.logger, zap.String("member", m.Name), zap.Duration("age", age))
+		eventEntryRemoved.Log(n.logger, zap.String("member", m.Name), zap.Duration("age", age), zap.Bool("removed", removed))
+	}
+}
+
+// removeEntry removes the store entry of a daemon as it is now. It reports false if the
+// entry has changed since: the daemon has returned, and may have stored a departure. The
+// store may execute the call seconds after it was given up.
+func (n *Node) removeEntry(ctx context.Context, key string) (removed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	object, err := n.platform.Store.Get(ctx, key)
+	if err == nil {
+		err = n.platform.Store.Delete(ctx, key, object.Revision)
+	}
+	switch {
+	case err == nil, store.IsNotFound(err):
+		return true, nil
+	case store.IsConflict(err):
+		return false, nil
 	}
+	return false, err
 }
 
 // initialState returns the state that the daemon publishes at its start.
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -50,7 +50,7 @@
 	eventReloadFailed = telemetry.NewEvent(2220, "settings_rejected", zapcore.WarnLevel,
 		"The changed settings file is invalid; the previous settings stay in effect.")
 	eventEntryRemoved = telemetry.NewEvent(2221, "entry_removed", zapcore.InfoLevel,
-		"The store entry of a daemon without heartbeats was removed.")
+		"The store entry of a daemon without heartbeats was removed, or kept because the daemon has written it again.")
 	eventReadFailed = telemetry.NewEvent(2222, "operator_read_failed", zapcore.WarnLevel,
 		"The operator's configuration or orders could not be read.")
 	eventEntryRejected = telemetry.NewEvent(2223, "entry_rejected", zapcore.WarnLevel,
