Deliver no status that promises "not run" without proof

Cause: Ingress.serve delivered every response of a target as it came. Only the other direction was checked: what a target proves not to have run goes to another target.

With 408 and 429 it is the same (TestUnprovenRefusal).

Change: a response with 408, 421, 429 or 503 that the target did not prove is not delivered. It counts as an attempt with an unknown outcome: an order gets 502 without a signature, a request that may be repeated goes to another target first. It counts as a failure of the target for the balancer and for moves, which 408 and 429 did not. A run that failed with an inner call is still not repeated.

Looked for elsewhere: all writers of the four statuses on the way to a caller. The daemon's own 503 needs that no attempt may have run; a late small body (408), the limit of a workspace (429, 503), a missing configuration, a stop and the lack of memory are answered before any attempt. A rejection by the target (the header, or 421) is a proof. A status of the own interface promises nothing, its outcome header does, and targets cannot set that. No further fault.

The targets of the soak now fail with these statuses too.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"nutmegstand.example/nutmegstand/pkg/proxy/admission"
@@ -140,6 +141,17 @@
 	}
 }
 
+// withholdPromise replaces a response whose status promises that the request has not run,
+// which the target did not prove. The caller would send a request again that has run. No
+// other status may bear the target's signature, so none of the response is delivered.
+func (a *AttemptResult) withholdPromise() *AttemptResult {
+	a.Close()
+	return &AttemptResult{
+		Outcome: Unknown, Reason: "status " + strconv.Itoa(a.Status) + " without proof that the request has not run",
+		InnerFailed: a.InnerFailed, Load: a.Load, Ran: a.Ran, Waited: a.Waited,
+	}
+}
+
 // forBalancer returns the result as the balancer records it. failed counts an attempt
 // that may have reached the target as a failure of the target.
 func (a *AttemptResult) forBalancer(took time.Duration, failed bool) *balance.Result {
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -321,6 +321,9 @@
 	} else {
 		result = i.Peers.Do(ctx, e.Address, s.call)
 	}
+	if result.Outcome == Answered && promisesNotRun(result.Status) {
+		result = result.withholdPromise()
+	}
 	if result.Outcome == Answered {
 		result.bufferBody(i.Buffers)
 	}
@@ -370,7 +373,7 @@
 		s.mayHaveRun = true
 	default:
 		s.mayHaveRun = true
-		if !s.call.Kind.Repeatable() || result.Reason == ReasonSuspect {
+		if !s.call.Kind.Repeatable() || result.Reason == ReasonSuspect || result.InnerFailed {
 			return false
 		}
 	}
--- a/pkg/proxy/innerfailed_test.go
+++ b/pkg/proxy/innerfailed_test.go
@@ -36,3 +36,17 @@
 		assert.Equal(t, result.forBalancer(0, true).Neutral, failed, "the target is not at fault")
 	}
 }
+
+// TestFailedInnerCallBehindRefusal guards against the same second run if the target answers
+// with a status that promises that the request has not run.
+func TestFailedInnerCallBehindRefusal(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		answered := &AttemptResult{Outcome: Answered, Status: http.StatusServiceUnavailable, InnerFailed: failed}
+		s := &requestState{
+			call:  &Call{Target: "a", Kind: routing.Idempotent, Deadline: time.Now().Add(time.Minute)},
+			route: &routing.Route{Attempts: 2}, contacted: make(map[string]bool),
+		}
+		assert.Equal(t, s.canContinue(t.Context(), answered.withholdPromise()), !failed)
+		assert.Assert(t, s.mayHaveRun)
+	}
+}
--- a/pkg/proxy/response.go
+++ b/pkg/proxy/response.go
@@ -19,6 +19,16 @@
 	_ = http.NewResponseController(w).EnableFullDuplex()
 }
 
+// promisesNotRun reports whether a status promises a caller that its request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // writeEmpty writes a response without a body.
 func writeEmpty(w http.ResponseWriter, status int) {
 	h := w.Header()
--- a/test/platform/soak/target.go
+++ b/test/platform/soak/target.go
@@ -32,6 +32,12 @@
 	lateHeartbeats       = 4 // that arrive after the removal of the target
 )
 
+// failureStatuses are the statuses of requests that a target has run and failed. Some of
+// them promise callers that a request has not run.
+var failureStatuses = []int{
+	http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
+}
+
 // misbehavior is the set of faults that a target injects into its responses.
 type misbehavior struct{ slow, dropResponses, fail, rejectEarly bool }
 
@@ -242,7 +248,7 @@
 	t.nameLimit(names.RateLimit, w.Header())
 	w.Header().Set(names.Signature, signature(id))
 	if (injected.fail || t.history.isFaulty(t.version)) && rand.Float64() < errorShare {
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(failureStatuses[rand.IntN(len(failureStatuses))])
 		return
 	}
 	_, _ = fmt.Fprint(w, content(id)) // the caller may have disconnected
