--- a/pkg/rollout/stalecontroller_test.go
+++ b/pkg/rollout/stalecontroller_test.go
@@ -13,6 +13,7 @@
 	"nutmegstand.example/nutmegstand/pkg/fleet"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 	"nutmegstand.example/nutmegstand/pkg/routing"
+	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
 // suspension is the time for which the controller of these tests does not run. Its peers
@@ -236,3 +237,33 @@
 		assert.Assert(t, s.follower.Allowed(testService, "v1") && !s.follower.Allowed(testService, "v2"))
 	})
 }
+
+// TestUnrecordedRollback guards against a controller that reports a rollback which it could
+// not record before it lost its role: its successor may record another end.
+func TestUnrecordedRollback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStaleMove(t)
+		s.move.controller.Records = &rejectedPlans{s.records}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.move.run(t.Context())
+		}()
+		synctest.Wait()
+		s.follower.recordEnd(closingPlan().ended(RolledBack))
+		time.Sleep(evaluationInterval + storeRetry/2)
+		published, _ := s.follower.Plan(testService)
+		assert.Equal(t, published.State, RolledBack)
+		s.table.Update(func(state *fleet.State) { state.StoreFails = true }) // this daemon loses the role
+		<-done
+		assert.Equal(t, s.records.plan.State, Active)
+		assert.Equal(t, s.records.state(), Active, "reported but not recorded")
+	})
+}
+
+// rejectedPlans is a store that rejects the writes of plans.
+type rejectedPlans struct{ *memoryRecords }
+
+func (r *rejectedPlans) SavePlan(context.Context, *Plan, int64) (int64, error) {
+	return 0, &store.UnavailableError{Op: "test", Cause: errUnavailable}
+}
