Share how tests let one member of the fleet hear another

The field that tells that a move's plan is recorded is named planRecorded, since "recorded" is the plan in the store in the methods that set it.

--- a/pkg/node/staleentry_test.go
+++ b/pkg/node/staleentry_test.go
@@ -10,7 +10,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
-	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/fleet/fleettest"
 	"nutmegstand.example/nutmegstand/pkg/store"
 	"nutmegstand.example/nutmegstand/pkg/store/standin"
 )
@@ -43,12 +43,7 @@
 		clock: c, logger: zap.NewNop(), settings: &Settings{Name: "vm-1"}, table: fleet.NewTable("vm-1", 1, fleet.State{}, c),
 		platform: Platform{Store: s, Eras: &store.Eras{}}, removedEntries: make(map[string]uint64),
 	}
-	other := fleet.New(fleet.Options{Table: fleet.NewTable("vm-2", 1, fleet.State{}, c), Config: &n.config, Logger: zap.NewNop()})
-	reply, err := other.Sync(t.Context(), &pb.SyncRequest{To: "unknown"})
-	assert.NilError(t, err)
-	self := fleet.New(fleet.Options{Table: n.table, Config: &n.config, Logger: zap.NewNop()})
-	_, err = self.Sync(t.Context(), &pb.SyncRequest{From: "vm-2", States: reply.GetStates()})
-	assert.NilError(t, err)
+	fleettest.Hear(t, n.table, fleet.NewTable("vm-2", 1, fleet.State{}, c))
 	return n, c, s
 }
 
--- a/pkg/node/workspacelimits_test.go
+++ b/pkg/node/workspacelimits_test.go
@@ -6,12 +6,11 @@
 	"strings"
 	"testing"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
-	"nutmegstand.example/nutmegstand/pkg/pb"
+	"nutmegstand.example/nutmegstand/pkg/fleet/fleettest"
 )
 
 const validSettings = `{"name":"vm-1","domain":"zone-a","service":"desk","targetAddress":"10.0.0.5:1","listen":{"callers":"10.0.0.5:2",
@@ -57,13 +56,7 @@
 	c := &clock.Manual{}
 	n := &Node{clock: c, table: fleet.NewTable("self", started, fleet.State{}, c)}
 	for name, incarnation := range map[string]uint64{"older": started - 10_000, "restarted": started - 1000} {
-		peer := fleet.NewTable(name, incarnation, fleet.State{}, c)
-		f := fleet.New(fleet.Options{Table: n.table, Config: &n.config, Logger: zap.NewNop()})
-		other := fleet.New(fleet.Options{Table: peer, Config: &n.config, Logger: zap.NewNop()})
-		reply, err := other.Sync(t.Context(), &pb.SyncRequest{To: "unknown"})
-		assert.NilError(t, err)
-		_, err = f.Sync(t.Context(), &pb.SyncRequest{From: name, States: reply.GetStates()})
-		assert.NilError(t, err)
+		fleettest.Hear(t, n.table, fleet.NewTable(name, incarnation, fleet.State{}, c))
 	}
 	older := make(map[string]bool)
 	for _, m := range (quotaSource{n}).Members() {
--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -25,7 +25,7 @@
 	stepEnd        time.Duration // earliest end of the current step, since the order
 	judge          Judge
 	attemptsAtStep int  // attempts at the new version when the current step started
-	recorded       bool // the plan is in the store
+	planRecorded   bool // the plan is in the store
 	replaced       bool // by a later order
 }
 
@@ -52,7 +52,7 @@
 		}
 	}
 	// An end that could not be recorded is left to the next controller.
-	if m.plan.State != Active && m.recorded && !m.replaced && !m.order.Final() {
+	if m.plan.State != Active && m.planRecorded && !m.replaced && !m.order.Final() {
 		m.retry(ctx, "report state", m.reportEnd)
 	}
 }
@@ -192,7 +192,7 @@
 
 // follow puts a recorded plan in force.
 func (m *move) follow(plan *Plan, revision int64) {
-	m.plan, m.revision, m.recorded = plan, revision, true
+	m.plan, m.revision, m.planRecorded = plan, revision, true
 	m.publish(Rank(revision))
 }
 
@@ -316,7 +316,7 @@
 func (m *move) rollBack(ctx context.Context, reason string) {
 	next := m.plan.ended(RolledBack)
 	next.Reason = reason
-	m.plan, m.recorded = next, false
+	m.plan, m.planRecorded = next, false
 	m.publish(m.rank + 1)
 	m.logStep(reason)
 	m.retry(ctx, "record the roll-back", func(ctx context.Context) error { return m.save(ctx, next) })
--- a/pkg/rollout/stalecontroller_test.go
+++ b/pkg/rollout/stalecontroller_test.go
@@ -11,8 +11,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/fleet"
-	"nutmegstand.example/nutmegstand/pkg/pb"
-	"nutmegstand.example/nutmegstand/pkg/routing"
+	"nutmegstand.example/nutmegstand/pkg/fleet/fleettest"
 	"nutmegstand.example/nutmegstand/pkg/store"
 )
 
@@ -55,12 +54,7 @@
 func (s *staleMove) hearPeer() {
 	s.t.Helper()
 	s.peer.AdvanceHeartbeat()
-	from := fleet.New(fleet.Options{Table: s.peer, Config: &routing.Current{}, Logger: zap.NewNop()})
-	to := fleet.New(fleet.Options{Table: s.table, Config: &routing.Current{}, Logger: zap.NewNop()})
-	reply, err := from.Sync(s.t.Context(), &pb.SyncRequest{To: "unknown"})
-	assert.NilError(s.t, err)
-	_, err = to.Sync(s.t.Context(), &pb.SyncRequest{From: "vm-2", States: reply.GetStates()})
-	assert.NilError(s.t, err)
+	fleettest.Hear(s.t, s.table, s.peer)
 }
 
 // report delivers the reports of both daemons, the other one with the given number of
