Tell a controller's own write from that of another one

If the response to a controller's write was lost, it read its own plan back and adopted it as that of another controller: a warning that names no other controller, and no plan_step line for the step. The move went on as it should.

Cause: save compared the order of the recorded plan only.

Change: a recorded plan that is the one just written is followed as such.

Test: pkg/rollout.TestOwnWriteWithoutResponse on the previous commit: "adopted as the plan of another controller"; it passes now.

--- a/pkg/rollout/move.go
+++ b/pkg/rollout/move.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -157,9 +158,13 @@
 	if readErr != nil {
 		return err // the next attempt fails again and repeats the read
 	}
-	if recorded != nil && recorded.replaces(plan) {
+	switch {
+	case recorded != nil && recorded.replaces(plan):
 		m.endReplaced(recorded.Target)
 		return nil
+	case recorded != nil && bytes.Equal(Encode(recorded), Encode(plan)):
+		m.follow(plan, revision) // only the response was lost
+		return nil
 	}
 	unchanged := revision == m.revision
 	m.revision = revision
--- a/pkg/rollout/stalecontroller_test.go
+++ b/pkg/rollout/stalecontroller_test.go
@@ -180,6 +180,20 @@
 	}
 }
 
+// TestOwnWriteWithoutResponse guards against a controller that takes its own write, whose
+// response was lost, for that of another one, and logs no step.
+func TestOwnWriteWithoutResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStaleMove(t)
+		s.records.loseAnswer = func() bool { return true }
+		next := closingPlan().ended(Completed)
+		assert.NilError(t, s.move.save(t.Context(), next))
+		assert.Assert(t, s.move.plan == next, "adopted as the plan of another controller")
+		assert.Equal(t, s.move.revision, s.records.revision)
+		assert.Assert(t, s.move.planRecorded)
+	})
+}
+
 // TestCompletedBeforeRollback guards against daemons that withhold the only version left: a
 // rollback was published while another controller had already recorded the completion.
 func TestCompletedBeforeRollback(t *testing.T) {
