Decide the split of a test by known draws

What callers saw: nothing.

Cause: the test is wrong. It counts 200 independent draws, of which 131 to 169 must go to the service; the run had 130. That many or fewer, or 170 or more, come up in 1 of 693 runs of a correct split (binomial distribution).

Evidence: 200,000 groups of 200 draws of pickService were out of bound in 295 cases (1 of 678, 216 of them below), as computed. The refused requests wait 0.1 s each for a target, and the 8.1 s of the failed run fit 70 of them. Ruled out: a refusal of a request of the service that has targets.

Change: the draws of an ingress can be set, as those of rollout.Follower can, and a mesh of the tests sets them from a seed.

Callers are served as before.

--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -67,10 +68,11 @@
 	Budget    *RetryBudget
 	Gate      *Gate
 	Peers     *Peers
-	Limiter   Limiter     // nil if workspaces have no limits
-	Buffers   *Buffers    // of responses, nil for no bound
-	Leaving   func() bool // reports whether the daemon is about to stop
-	Refusing  func() bool // reports whether new requests could not complete before the stop
+	Limiter   Limiter        // nil if workspaces have no limits
+	Buffers   *Buffers       // of responses, nil for no bound
+	Leaving   func() bool    // reports whether the daemon is about to stop
+	Refusing  func() bool    // reports whether new requests could not complete before the stop
+	Random    func() float64 // returns a number in [0, 1) that decides a weighted split, nil for a random one
 	Logger    *zap.Logger
 	Metrics   *Metrics
 }
@@ -82,7 +84,12 @@
 }
 
 // NewIngress returns an Ingress.
-func NewIngress(options IngressOptions) *Ingress { return &Ingress{IngressOptions: options} }
+func NewIngress(options IngressOptions) *Ingress {
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
+	return &Ingress{IngressOptions: options}
+}
 
 // ReadAhead reports whether a request may run before earlier requests of its
 // connection have been answered: if its route allows it to run more than once.
@@ -191,7 +198,7 @@
 			c.Age = s.ingress.ages.Age(route.Name, left, c.Received)
 		}
 	}
-	c.Service = pickService(route.Split)
+	c.Service = pickService(route.Split, s.ingress.Random())
 }
 
 func (i *Ingress) serve(w http.ResponseWriter, r *http.Request, s *requestState) {
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,6 +103,18 @@
 // linkMbps is the configured link speed of the machines.
 const linkMbps = 10
 
+// newSplitDraws returns the source of the numbers that decide the splits of a mesh. All
+// meshes get the same numbers.
+func newSplitDraws() func() float64 {
+	var mu sync.Mutex
+	draws := rand.New(rand.NewPCG(1, 1))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return draws.Float64()
+	}
+}
+
 // newMesh starts a caller side and n target sides with one target each.
 func newMesh(t *testing.T, n int) *mesh {
 	t.Helper()
@@ -126,7 +140,7 @@
 		Names: proxytest.Names, Service: "desk", Config: m.config, Directory: m, Versions: m, Recorder: m,
 		Balancer: balance.New(zap.NewNop()), Gate: m.targetSides[0].gate, Peers: proxy.NewPeers(),
 		Budget:  proxy.NewRetryBudget(0.2, 60, 10*time.Second, func() int { return 1 }),
-		Leaving: m.leaving.Load, Refusing: m.refusing.Load, Logger: zap.NewNop(),
+		Leaving: m.leaving.Load, Refusing: m.refusing.Load, Random: newSplitDraws(), Logger: zap.NewNop(),
 	})
 	m.caller = startCallerServer(t, ingress, ingress.ReadAhead, m.leaving.Load)
 	return m
--- a/pkg/proxy/split.go
+++ b/pkg/proxy/split.go
@@ -1,18 +1,14 @@
 package proxy
 
-import (
-	"math/rand/v2"
+import "nutmegstand.example/nutmegstand/pkg/routing"
 
-	"nutmegstand.example/nutmegstand/pkg/routing"
-)
-
-// pickService returns a service of a weighted split, chosen at random.
-func pickService(split []routing.Share) string {
+// pickService returns the service of a weighted split at a position in [0, 1).
+func pickService(split []routing.Share, position float64) string {
 	total := 0.0
 	for _, share := range split {
 		total += share.Weight
 	}
-	at := rand.Float64() * total
+	at := position * total
 	for _, share := range split {
 		if at < share.Weight {
 			return share.Service
