Know the orders before the first configuration is in force

Cause: the configuration and the orders are read by two tasks, and a daemon serves as soon as it has the first. Without an order the version of most known targets counts as the one in use. A daemon that has just started may know one target only, and not the order that rules it out. The configuration of a peer may also arrive ahead of its facts, if it is announced by a datagram.

Change: a daemon puts its first configuration in force once it has read the orders, or with that of a peer, whose facts it gets before. The follower applies them before the first request. If no read of the orders is answered, the daemon waits 5 s, logs orders_unknown (2232) and serves. Later configurations wait for nothing. A peer of an older version answers the call for its facts without any, as if there were none.

--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -174,7 +174,8 @@
 }
 
 // requestConfig requests the configuration of a peer, on a new connection if reconnect
-// is set.
+// is set. A daemon without a configuration gets the facts of the peer first: they restrict
+// the use of targets, and may not have arrived yet.
 func (f *Fleet) requestConfig(address string, held uint64, reconnect bool) (*pb.ConfigReply, error) {
 	timeout := pooledFetchTimeout
 	if reconnect {
@@ -182,16 +183,23 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request := &pb.ConfigRequest{Held: held}
-	if !reconnect {
-		return f.Peers.Fleet(ctx, address).Config(ctx, request)
+	client := f.Peers.Fleet(ctx, address)
+	if reconnect {
+		newClient, disconnect, err := f.Peers.DialFleet(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		defer disconnect()
+		client = newClient
 	}
-	client, disconnect, err := f.Peers.DialFleet(ctx, address)
-	if err != nil {
-		return nil, err
+	if f.Options.Config.Load() == nil {
+		reply, err := client.Sync(ctx, &pb.SyncRequest{From: f.Table.self})
+		if err != nil {
+			return nil, err
+		}
+		f.merge(nil, reply.GetFacts())
 	}
-	defer disconnect()
-	return client.Config(ctx, request)
+	return client.Config(ctx, &pb.ConfigRequest{Held: held})
 }
 
 // fetchFrom fetches and applies the configuration of a peer. It reports whether a
--- a/pkg/fleet/fetch_test.go
+++ b/pkg/fleet/fetch_test.go
@@ -99,3 +99,21 @@
 	assert.Equal(t, receiver.config.Load().Version(), uint64(2))
 	assert.Assert(t, time.Since(started) < bound, "the fetch took %v", time.Since(started))
 }
+
+// TestFactsBeforeFirstConfig guards against a daemon that has just started and applies the
+// configuration of a peer without the facts that the peer had when it applied it. Requests
+// would reach targets that these facts rule out.
+func TestFactsBeforeFirstConfig(t *testing.T) {
+	const key = "orders/desk"
+	holder, receiver := startDaemon(t, "b", 1), startDaemon(t, "a", 1)
+	var known bool
+	receiver.ApplyConfig = func(c *routing.Config) { // the daemon has no peer yet
+		_, known = receiver.table.Fact(key)
+		receiver.config.Advance(c)
+	}
+	holder.table.SetFact(key, 7, []byte("{}"))
+	holder.ApplyConfig(&routing.Config{Version: 1})
+	assert.NilError(t, receiver.handleDatagram(holder.encodeWithLocalState(&pb.SyncRequest{})))
+	waitFor(t, "the configuration is in force", func() bool { return receiver.config.Load().Version() == 1 })
+	assert.Assert(t, known, "the configuration was applied without a fact of the peer")
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -321,6 +321,8 @@
 			reply.Facts = f.Table.encodeFacts()
 		}
 		reply.Left = f.leftTarget(request.GetFrom())
+	} else if request.GetConfigVersion() == 0 {
+		reply.Facts = f.Table.encodeFacts() // the peer is about to fetch its first configuration
 	}
 	return reply, nil
 }
--- a/pkg/node/events.go
+++ b/pkg/node/events.go
@@ -71,6 +71,8 @@
 		"The store has returned from a copy with an order that a later one had replaced. The later one stays in force; the operator writes it again.")
 	eventEraUnreadable = telemetry.NewEvent(2231, "store_era_unreadable", zapcore.WarnLevel,
 		"A response of the store named no era, or one that cannot be read; the newest known one applies. Logged once.")
+	eventOrdersUnknown = telemetry.NewEvent(2232, "orders_unknown", zapcore.WarnLevel,
+		"The daemon puts its first configuration in force although neither the store nor a peer has reported the orders. A version that was rolled back before may get requests until they are known.")
 	eventWorkspacesChanged = telemetry.NewEvent(2240, "workspaces_changed", zapcore.InfoLevel,
 		"A newer configuration changed workspaces or their keys; the event has the numbers of changed and removed workspaces, and of all workspaces and keys.")
 )
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -79,6 +79,8 @@
 	budget          *proxy.RetryBudget
 	stopGrace       atomic.Int64 // nanoseconds from the stop signal to the kill
 	quotaMembers    *quota.Members
+	ordersKnown     chan struct{} // closed by setOrdersKnown
+	setOrdersKnown  func()
 	listedDaemons   atomic.Int64 // daemons in the store at the start, 0 if they were not listed
 	registered      atomic.Bool  // the local entry is in the store and the listed peers were contacted
 	watcherEligible atomic.Bool  // the role of operator watcher may be taken
@@ -114,7 +116,8 @@
 		p.Eras = &store.Eras{}
 	}
 	p.Eras.OnUnreadable = func(text string) { eventEraUnreadable.Log(logger, zap.String("era", text)) }
-	n := &Node{settings: s, platform: p, logger: logger, clock: clock.Boot{}, failed: make(chan error, 1)}
+	n := &Node{settings: s, platform: p, logger: logger, clock: clock.Boot{}, failed: make(chan error, 1), ordersKnown: make(chan struct{})}
+	n.setOrdersKnown = sync.OnceFunc(func() { close(n.ordersKnown) })
 	var err error
 	if n.tasks, err = ants.NewPool(maxTasks, ants.WithNonblocking(true)); err != nil {
 		return nil, &StartError{"tasks", err}
@@ -268,7 +271,7 @@
 	n.startPart("unregistered target", func() error { n.releaseUnregistered(ctx); return nil })
 	n.startPart("store eras", func() error { n.followEras(ctx); return nil })
 	n.startPart("departures", func() error { n.entry.run(ctx); return nil })
-	n.startPart("configuration", func() error { n.configWatcher().run(ctx); return nil })
+	n.startPart("configuration", func() error { n.configWatcher(ctx).run(ctx); return nil })
 	n.startPart("orders", func() error { n.orderWatcher().run(ctx); return nil })
 	if n.settings.Evacuation > 0 {
 		n.startPart("evacuations", func() error { n.evacuationWatcher().run(ctx); return nil })
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -44,6 +44,9 @@
 	// from its peers.
 	registerTimeout   = 1500 * time.Millisecond
 	peerConfigTimeout = 2500 * time.Millisecond
+	// ordersTimeout bounds the wait for the orders before the first configuration is put
+	// in force. A store may answer reads of the one and not of the other.
+	ordersTimeout = 5 * time.Second
 	// roleCheckInterval is the interval between checks of the ranking.
 	roleCheckInterval = 100 * time.Millisecond
 	// storeFailureThreshold is the number of consecutive failed store calls after
@@ -178,23 +181,26 @@
 	return nil
 }
 
-func (n *Node) configWatcher() *watcher {
+// configWatcher returns the watcher of the configuration. Its first configuration waits for
+// the orders until ctx ends.
+func (n *Node) configWatcher(ctx context.Context) *watcher {
+	running := ctx
 	return &watcher{
 		node: n, entries: "configuration", timeout: n.configWatchTimeout, contact: n.reportContact,
 		read: func(ctx context.Context) (int64, error) {
 			config, revision, err := n.platform.Operator.Config(ctx)
-			return revision, n.handleConfig(config, err)
+			return revision, n.handleConfig(running, config, err)
 		},
 		watch: func(ctx context.Context, from int64) (int64, error) {
 			config, revision, err := n.platform.Operator.WatchConfig(ctx, from)
-			return revision, n.handleConfig(config, err)
+			return revision, n.handleConfig(running, config, err)
 		},
 	}
 }
 
 // handleConfig applies a configuration read from the operator. A configuration that
 // cannot be decoded is rejected as a whole. Store errors are returned.
-func (n *Node) handleConfig(config *routing.Config, err error) error {
+func (n *Node) handleConfig(ctx context.Context, config *routing.Config, err error) error {
 	if err != nil {
 		if store.IsUnavailable(err) || store.IsNotFound(err) || store.IsExpiredWatch(err) {
 			return err
@@ -203,19 +209,40 @@
 		return nil
 	}
 	if config != nil {
+		n.awaitOrders(ctx)
 		n.applyConfig(config, true)
 	}
 	return nil
 }
 
+// awaitOrders waits until a daemon without a configuration knows the orders. Without them a
+// version that was rolled back before the start of the daemon may look like the one in use.
+func (n *Node) awaitOrders(ctx context.Context) {
+	if n.config.Load() != nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.ordersKnown:
+	case <-time.After(ordersTimeout):
+		eventOrdersUnknown.Log(n.logger, zap.Duration("waited", ordersTimeout))
+	}
+}
+
 // applyConfig puts a configuration in force if it is newer than the current one. With
 // push, the new version is pushed to all peers; otherwise the next exchanges
 // advertise it.
 func (n *Node) applyConfig(config *routing.Config, push bool) {
 	before := n.config.Load()
+	if before == nil { // requests follow the orders and evacuations from the first one on
+		facts := n.table.Facts()
+		n.moves.Refresh(facts)
+		n.applyEvacuations(facts)
+	}
 	if !n.config.Advance(config) {
 		return
 	}
+	n.setOrdersKnown()
 	n.logWorkspaces(before, config)
 	n.history.Add(config)
 	eventConfigInForce.Log(n.logger, zap.Uint64("version", config.Version), zap.Int("routes", len(config.Routes)), zap.Bool("from_store", push))
@@ -230,6 +257,9 @@
 		read: func(ctx context.Context) (int64, error) {
 			orders, revision, err := n.platform.Operator.Orders(ctx)
 			n.handleOrders(orders)
+			if err == nil || store.IsNotFound(err) {
+				n.setOrdersKnown()
+			}
 			return revision, err
 		},
 		watch: func(ctx context.Context, from int64) (int64, error) {
