Name the context that ends with the daemon

What callers saw: nothing. Read as a newcomer, configWatcher kept its context under a second name, since each call of a watcher has a context of its own.

Change: the parameter has the name that its use asks for, and the comments say that the wait outlasts the call and that setOrdersKnown may be called again. No behaviour changes.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -80,10 +80,10 @@
 	stopGrace       atomic.Int64 // nanoseconds from the stop signal to the kill
 	quotaMembers    *quota.Members
 	ordersKnown     chan struct{} // closed by setOrdersKnown
-	setOrdersKnown  func()
-	listedDaemons   atomic.Int64 // daemons in the store at the start, 0 if they were not listed
-	registered      atomic.Bool  // the local entry is in the store and the listed peers were contacted
-	watcherEligible atomic.Bool  // the role of operator watcher may be taken
+	setOrdersKnown  func()        // may be called more than once
+	listedDaemons   atomic.Int64  // daemons in the store at the start, 0 if they were not listed
+	registered      atomic.Bool   // the local entry is in the store and the listed peers were contacted
+	watcherEligible atomic.Bool   // the role of operator watcher may be taken
 	leaving         atomic.Bool
 	refusing        atomic.Bool // new requests are refused, since they might not end before the stop
 	startedAt       clock.Instant
--- a/pkg/node/watch.go
+++ b/pkg/node/watch.go
@@ -181,10 +181,9 @@
 	return nil
 }
 
-// configWatcher returns the watcher of the configuration. Its first configuration waits for
-// the orders until ctx ends.
-func (n *Node) configWatcher(ctx context.Context) *watcher {
-	running := ctx
+// configWatcher returns the watcher of the configuration. Its first configuration may wait
+// for the orders, beyond the context of the call that read it, until running ends.
+func (n *Node) configWatcher(running context.Context) *watcher {
 	return &watcher{
 		node: n, entries: "configuration", timeout: n.configWatchTimeout, contact: n.reportContact,
 		read: func(ctx context.Context) (int64, error) {
