Free the addresses of a daemon that has ended

What callers saw: nothing of a daemon in a process of its own, whose end frees its addresses.

Cause: at its end a daemon waits 100 ms for its parts and leaves listeners open that a part has not closed by then. The cleanup received a second time from the channel of a daemon whose end it had already seen.

Which part was late is not traced.

Change: Run closes all listeners before it returns. The tests' deployment forgets the daemons that it has stopped, so a failed restart fails at once.

--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// closeListeners frees the addresses of parts that have not ended in time.
+func (n *Node) closeListeners() {
+	for _, listener := range n.listeners {
+		_ = listener.Close() // most are closed already
+	}
+	_ = n.datagrams.Close()
+}
+
 // Reload applies the settings that can change at run time: retries, drain period,
 // stop grace and memory limit. All others keep their values from the start.
 func (n *Node) Reload(file string) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -255,6 +255,7 @@
 	cut := n.drain()
 	stop()
 	n.awaitParts()
+	n.closeListeners()
 	n.tasks.Release()
 	eventStopped.Log(n.logger, zap.Int("cut", cut))
 	return err
--- a/test/platform/deployment_test.go
+++ b/test/platform/deployment_test.go
@@ -45,6 +45,7 @@
 	stop     context.CancelFunc
 	ended    chan error
 	logger   *zap.Logger
+	edge     node.Edge
 
 	mu       sync.Mutex
 	sequence int
@@ -126,6 +127,7 @@
 	for _, m := range d.machines {
 		if m.stop != nil {
 			<-m.ended
+			m.stop = nil // it may not start again
 		}
 	}
 }
@@ -180,7 +182,7 @@
 }
 
 func (d *deployment) newMachine(i int) *machine {
-	m := &machine{t: d.t, store: d.store.Address, target: proxytest.New(d.t), state: "ready", logger: zap.NewNop(), id: fmt.Sprintf("i-%d", i), version: "v1"}
+	m := &machine{t: d.t, store: d.store.Address, target: proxytest.New(d.t), state: "ready", logger: zap.NewNop(), edge: platform.Edge{}, id: fmt.Sprintf("i-%d", i), version: "v1"}
 	m.settings = &node.Settings{
 		Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("zone-%d", i%2), Service: service, TargetAddress: m.target.Address,
 		Listen: node.Listen{
@@ -197,7 +199,7 @@
 	m.t.Helper()
 	objects := platform.NewObjects(m.store)
 	n, err := node.New(m.settings, node.Platform{
-		Headers: proxytest.Names, Operator: platform.NewOperator(objects), Store: objects, Eras: objects.Eras(), Edge: platform.Edge{},
+		Headers: proxytest.Names, Operator: platform.NewOperator(objects), Store: objects, Eras: objects.Eras(), Edge: m.edge,
 	}, m.logger)
 	assert.NilError(m.t, err)
 	var ctx context.Context
