Reserve the ports of crashed targets in tests

No caller is affected: the test was at fault, not the product.

Cause: a daemon confirms the crash of a target by a connection to its address 20 ms later. proxytest.Target.Crash closes the listener, and the kernel may give its port to the next listener of any process, such as the tests of another package. The probe then reaches that listener, the crash does not count, and the request gets two more runs.

Change: linktest.Listen and linktest.ClosedAddress reserve the port with a bound socket until the test ends. proxytest.Target and the tests that need an address that refuses connections use them. The bounds and checks of the tests are as before.

Why it works: the kernel chooses no port that a bound socket has.

--- a/pkg/proxy/bodyattempts_test.go
+++ b/pkg/proxy/bodyattempts_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"nutmegstand.example/nutmegstand/pkg/link/linktest"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
 	"nutmegstand.example/nutmegstand/pkg/proxy/balance"
 	"nutmegstand.example/nutmegstand/pkg/proxy/proxytest"
@@ -126,7 +127,7 @@
 func (m *mesh) replaceFirst(id string) {
 	target := localTarget(0, m.targetSides[0])
 	target.ID, target.Version = id, "v0"
-	m.targetSides[0].gate.SetTarget(proxy.LocalTarget{ID: "none", Service: testService, Address: closedAddress(m.t)})
+	m.targetSides[0].gate.SetTarget(proxy.LocalTarget{ID: "none", Service: testService, Address: linktest.ClosedAddress(m.t)})
 	m.targetSides[0].gate.SetTarget(target)
 }
 
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -261,14 +261,6 @@
 	return false
 }
 
-// closedAddress returns an address that refuses connections.
-func closedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // localTarget returns the target of the target side with index i.
 func localTarget(i int, s *targetSide) proxy.LocalTarget {
 	return proxy.LocalTarget{ID: string(rune('a' + i)), Service: testService, Version: "v1", Address: s.target.Address, Slots: 2}
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"nutmegstand.example/nutmegstand/pkg/link/linktest"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
 	"nutmegstand.example/nutmegstand/pkg/proxy/proxytest"
 	"nutmegstand.example/nutmegstand/pkg/routing"
@@ -186,7 +187,7 @@
 // although the unreachable daemon cannot have received it.
 func TestUnreachableDaemon(t *testing.T) {
 	m := newMesh(t, 2)
-	m.endpoints[0].Address = closedAddress(t)
+	m.endpoints[0].Address = linktest.ClosedAddress(t)
 	for range 6 {
 		assert.Equal(t, m.post("/order/1", "box").status, http.StatusOK)
 	}
--- a/pkg/proxy/proxytest/target.go
+++ b/pkg/proxy/proxytest/target.go
@@ -13,6 +13,7 @@
 	"sync"
 	"testing"
 
+	"nutmegstand.example/nutmegstand/pkg/link/linktest"
 	"nutmegstand.example/nutmegstand/pkg/proxy"
 )
 
@@ -50,10 +51,7 @@
 // New starts a target that responds to every request with 200.
 func New(t testing.TB) *Target {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := linktest.Listen(t)
 	target := &Target{Address: listener.Addr().String(), handler: OK("ok"), conns: make(map[net.Conn]bool), listener: listener}
 	go target.accept(listener)
 	t.Cleanup(target.Crash)
@@ -159,7 +157,7 @@
 	}
 }
 
-// Crash closes the listener and resets all connections.
+// Crash closes the listener and resets all connections. Later connections are refused.
 func (s *Target) Crash() {
 	_ = s.listener.Close()
 	s.mu.Lock()
