Reserve the ports of stopped daemons in the tests of the fleet

What could be seen: TestRestartIsFound waits for the address of a daemon that it has stopped, and other tests keep the address of a stopped daemon among the peers. Not seen to fail.

Change: startDaemon listens with linktest.Listen. The checks are as before. The UDP port is not reserved; it is held by no other program than the daemon's, but the kernel may still choose it for another socket in the moments between two processes.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"nutmegstand.example/nutmegstand/pkg/clock"
 	"nutmegstand.example/nutmegstand/pkg/link"
+	"nutmegstand.example/nutmegstand/pkg/link/linktest"
 	"nutmegstand.example/nutmegstand/pkg/pb"
 	"nutmegstand.example/nutmegstand/pkg/routing"
 )
@@ -35,8 +36,7 @@
 	t.Helper()
 	const attempts = 20
 	for range attempts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
+		listener := linktest.Listen(t)
 		datagrams, err := net.ListenPacket("udp", listener.Addr().String())
 		if err == nil {
 			return startDaemonAt(t, name, incarnation, listener, datagrams)
