Set the handlers of test daemons before they start

What was seen: pkg/fleet.TestPermits failed in 2 of 5 runs of the package beside other tests, by the race detector. It was found in runs that look for tests that fail by chance. The daemon is not affected: it sets the handlers when it is built, before its parts start (Node.buildLimiter).

Cause: the test set HandlePermitRequests and HandlePermitGrants while the daemons received datagrams already. Two tests of fetches replaced Peers and ApplyConfig of a running daemon in the same way.

Evidence: the report of the race detector names the write in permits_test.go and the read in Fleet.handlePermits, in the task that receives datagrams.

The checks are as before; the value that TestFactsBeforeFirstConfig takes from ApplyConfig is atomic.

--- a/pkg/fleet/fetch_test.go
+++ b/pkg/fleet/fetch_test.go
@@ -82,9 +82,8 @@
 func TestFetchOverSilentConnection(t *testing.T) {
 	const bound = time.Second
 	holder := startDaemon(t, "b", 1)
-	receiver := startDaemon(t, "a", 1)
 	connections := &dialer{}
-	receiver.Peers = link.NewPeers(connections.dial) // the daemon has no peer yet
+	receiver := startDaemon(t, "a", 1, func(o *Options) { o.Peers = link.NewPeers(connections.dial) })
 	member := NewTable("b", 1, State{Zone: "z", SyncAddress: holder.address}, receiver.table.clock)
 	receiver.merge([]*pb.MemberState{member.localState()}, nil)
 	holder.ApplyConfig(&routing.Config{Version: 1})
@@ -105,15 +104,18 @@
 // would reach targets that these facts rule out.
 func TestFactsBeforeFirstConfig(t *testing.T) {
 	const key = "orders/desk"
-	holder, receiver := startDaemon(t, "b", 1), startDaemon(t, "a", 1)
-	var known bool
-	receiver.ApplyConfig = func(c *routing.Config) { // the daemon has no peer yet
-		_, known = receiver.table.Fact(key)
-		receiver.config.Advance(c)
-	}
+	var known atomic.Bool
+	holder := startDaemon(t, "b", 1)
+	receiver := startDaemon(t, "a", 1, func(o *Options) {
+		o.ApplyConfig = func(c *routing.Config) {
+			_, ok := o.Table.Fact(key)
+			known.Store(ok)
+			o.Config.Advance(c)
+		}
+	})
 	holder.table.SetFact(key, 7, []byte("{}"))
 	holder.ApplyConfig(&routing.Config{Version: 1})
 	assert.NilError(t, receiver.handleDatagram(holder.encodeWithLocalState(&pb.SyncRequest{})))
 	waitFor(t, "the configuration is in force", func() bool { return receiver.config.Load().Version() == 1 })
-	assert.Assert(t, known, "the configuration was applied without a fact of the peer")
+	assert.Assert(t, known.Load(), "the configuration was applied without a fact of the peer")
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -32,14 +32,15 @@
 	left    atomic.Value // ID of the last target reported as left
 }
 
-func startDaemon(t *testing.T, name string, incarnation uint64) *daemon {
+// startDaemon starts a daemon whose options are changed by changes.
+func startDaemon(t *testing.T, name string, incarnation uint64, changes ...func(*Options)) *daemon {
 	t.Helper()
 	const attempts = 20
 	for range attempts {
 		listener := linktest.Listen(t)
 		datagrams, err := net.ListenPacket("udp", listener.Addr().String())
 		if err == nil {
-			return startDaemonAt(t, name, incarnation, listener, datagrams)
+			return startDaemonAt(t, name, incarnation, listener, datagrams, changes...)
 		}
 		assert.NilError(t, listener.Close()) // another process has the UDP port
 	}
@@ -47,7 +48,9 @@
 	return nil
 }
 
-func startDaemonAt(t *testing.T, name string, incarnation uint64, listener net.Listener, datagrams net.PacketConn) *daemon {
+func startDaemonAt(
+	t *testing.T, name string, incarnation uint64, listener net.Listener, datagrams net.PacketConn, changes ...func(*Options),
+) *daemon {
 	t.Helper()
 	tasks, err := ants.NewPool(256, ants.WithNonblocking(true))
 	assert.NilError(t, err)
@@ -57,12 +60,16 @@
 		table: NewTable(name, incarnation, State{Zone: "z", SyncAddress: address}, clock.Boot{}),
 	}
 	history := &History{}
-	d.Fleet = New(Options{
+	options := Options{
 		Table: d.table, Peers: link.NewPeers(link.DialTCP), Datagrams: datagrams, Tasks: tasks, Config: d.config, History: history,
 		Logger: zap.NewNop(), HandleReport: func(string, []byte) {},
 		HandleLeftTarget: func(target string, _ int64) { d.left.Store(target) },
 		ApplyConfig:      func(c *routing.Config) { d.applyConfig(c, history) },
-	})
+	}
+	for _, change := range changes {
+		change(&options)
+	}
+	d.Fleet = New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	go func() { _ = d.Serve(ctx, listener) }()
